--- /dev/null
+++ b/src/main/java/ironwind/Logic.java
@@ -0,0 +1,904 @@
+package ironwind;
+
+import ironwind.model.CallOut;
+import ironwind.model.Customer;
+import ironwind.model.Deployment;
+import ironwind.model.Deployment.HostChecks;
+import ironwind.model.Effect;
+import ironwind.model.Freshness;
+import ironwind.model.Group;
+import ironwind.model.Host;
+import ironwind.model.Inbound;
+import ironwind.model.Method;
+import ironwind.model.Moment;
+import ironwind.model.Outbound;
+import ironwind.model.Outcome;
+import ironwind.model.Role;
+import ironwind.model.RosterEntry;
+import ironwind.model.Rpc;
+import ironwind.model.Rpc.Stage;
+import ironwind.model.Span;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.SplittableRandom;
+import java.util.TreeMap;
+import java.util.function.BiConsumer;
+
+/**
+ * All decisions of one router. A front (today the wire's adapter) makes one instance per router, brings every event
+ * of a batch through {@link Inbound} and then calls {@link #settle}; the module answers through {@link Outbound}.
+ * Both stand in {@code ironwind.model}, with the state that only this class writes. The module reads no clock but
+ * the batch's, draws chance from its seed alone, and is not safe for use by several threads.
+ *
+ * <p>The ordinary path is the log-position gate of docs/design.md: see {@link #choose}. Whatever is proposed, {@link
+ * #gate} is the one place that a send passes. What happens to an RPC stands in {@link #TABLE}.
+ */
+public final class Logic implements Inbound {
+    /** The design's brief wait for a replica to pass, before the primary is taken. */
+    private static final Span BRIEF_WAIT = Span.ofMillis(20);
+    /** How often held RPCs and hosts are looked at when nothing else happens. */
+    private static final Span LOOK_EVERY = Span.ofMillis(10);
+    /** A host is silent when its call-outs have waited this many mean answer times without a word, added up. */
+    private static final double SILENCE = 7;
+    private static final Span LEAST_SILENCE = Span.ofMillis(150);
+    /** As many call-outs count for silence at most; more may be queueing at the host. */
+    private static final int SILENCE_VOICES = 4;
+    private static final double TRIAL_PATIENCE = 3;
+    private static final Span TRIAL_EVERY = Span.ofMillis(400);
+    private static final int TRIAL_DOUBLINGS = 3;
+    private static final Span NEWS_EVERY = Span.ofMillis(250);
+    /** A word as replica is taken as still true in the search for a primary for so long. */
+    private static final Span ROLE_HOLDS = Span.ofMillis(400);
+    /** A list naming a host that has called itself a replica since is late. */
+    private static final Span LIST_LATENESS = Span.ofMillis(10_000);
+    /** Part of the result that probes for positions may cost. */
+    private static final double PROBE_SPEND = 0.002;
+    private static final double MOST_PROBE_SHARE = 0.5;
+    /** Second copies: how many mean answer times late, and for what share of the RPCs. */
+    private static final double COPY_AFTER = 2.5;
+    private static final double COPY_SHARE = 0.06;
+    private static final double COPY_BURST = 10;
+    /** In-flight limits: how they start, move and end, told by answer times as parts of the soft deadline. */
+    private static final double FIRST_LIMIT = 8;
+    private static final double MOST_LIMIT = 64;
+    private static final double LEAST_LIMIT = 1;
+    private static final double STRAINED = 0.6;
+    private static final double EASY = 0.45;
+    private static final double LIMIT_CUT = 0.85;
+    private static final double LIMIT_STEP = 0.5;
+    private static final Span LIMIT_REST = Span.ofMillis(100);
+    /** Reads may take so much of the primary's room; the rest is for what only the primary takes. */
+    private static final double READS_OF_PRIMARY = 0.6;
+    private static final double SMOOTHING = 0.08;
+    /** How long the oldest held RPC waits, in soft deadlines, before over-share traffic is shed. */
+    private static final double SHED_OVER_SHARE = 0.15;
+    /** An RPC is given up when less than so many mean answer times are left of its use. */
+    private static final double LEAST_USE = 0.5;
+    /** Cold budgets: the part of the allowance used, and the sends always allowed in a window. */
+    private static final double COLD_MARGIN = 0.6;
+    private static final double COLD_FLOOR = 2;
+    private static final Span RATE_OVER = Span.ofMillis(2_000);
+    private static final Span RATE_MEMORY = Span.ofMillis(30_000);
+    private static final Span WRITE_BACKOFF = Span.ofMillis(200);
+    private static final Span COMMIT_ROUNDING = Span.ofMillis(1);
+    private static final double FIRST_MEAN_US = 150_000;
+    private static final double BUCKET_SECONDS = 1;
+
+    /** What can happen to an RPC. */
+    private enum Input { ARRIVED, LOOK, SENT, OK, UNRUN, UNSURE, HOPELESS, LEFT }
+
+    private record Row(Stage state, Input input, Stage next, BiConsumer<Logic, Rpc> effect) {
+    }
+
+    private static final Row[] TABLE = {
+        new Row(Stage.HELD, Input.LOOK, Stage.HELD, Logic::place),
+        new Row(Stage.HELD, Input.ARRIVED, Stage.HELD, Logic::admit),
+        new Row(Stage.HELD, Input.SENT, Stage.OUT, Logic::nothing),
+        new Row(Stage.HELD, Input.HOPELESS, Stage.OVER, Logic::answerUnserved),
+        new Row(Stage.HELD, Input.LEFT, Stage.OVER, Logic::finish),
+        new Row(Stage.OUT, Input.SENT, Stage.TWICE_OUT, Logic::nothing),
+        new Row(Stage.OUT, Input.OK, Stage.OVER, Logic::finish),
+        new Row(Stage.OUT, Input.UNRUN, Stage.HELD, Logic::hold),
+        new Row(Stage.OUT, Input.UNSURE, Stage.HELD, Logic::holdIfRepeatable),
+        new Row(Stage.OUT, Input.LEFT, Stage.OVER, Logic::finish),
+        new Row(Stage.TWICE_OUT, Input.OK, Stage.OVER, Logic::finish),
+        new Row(Stage.TWICE_OUT, Input.UNRUN, Stage.OUT, Logic::nothing),
+        new Row(Stage.TWICE_OUT, Input.UNSURE, Stage.OUT, Logic::nothing),
+        new Row(Stage.TWICE_OUT, Input.LEFT, Stage.OVER, Logic::finish),
+    };
+
+    private final Deployment deployment;
+    private final SplittableRandom random;
+    private final Outbound outbound;
+    private final Map<String, Host> hosts = new LinkedHashMap<>();
+    private final Map<Integer, Group> groups = new TreeMap<>();
+    private final List<Rpc> held = new ArrayList<>();
+    private final List<Rpc> arrivals = new ArrayList<>();
+    private final Map<String, Commit> commits = new LinkedHashMap<>();
+    private final Span halfBound;
+    private final double[] meanUs;
+    private final double[] bucket;
+    private final Map<Integer, Double> likeRate = new TreeMap<>();
+    private double allMeanUs = FIRST_MEAN_US;
+    private double copyTokens;
+    private double probeTokens;
+    private Moment now = Moment.NEVER;
+    private Moment bucketsFilled = Moment.NEVER;
+    private Moment nextLook = Moment.NEVER;
+    private Moment wakeAsked = Moment.NEVER;
+    private boolean stirred;
+
+    private record Commit(Group group, Moment position) {
+    }
+
+    public Logic(Deployment deployment, long seed, Outbound outbound) {
+        this.deployment = deployment;
+        this.random = new SplittableRandom(seed);
+        this.outbound = outbound;
+        this.meanUs = new double[deployment.methods().size()];
+        java.util.Arrays.fill(meanUs, FIRST_MEAN_US);
+        this.bucket = new double[deployment.customers().size()];
+        for (Customer customer : deployment.customers()) {
+            bucket[customer.index()] = customer.quotaPerSecond() / deployment.routers() * BUCKET_SECONDS;
+        }
+        this.halfBound = deployment.methods().stream().filter(m -> m.freshness() == Freshness.BOUNDED)
+                .map(Method::bound).min(Comparator.naturalOrder()).orElse(Span.ofMillis(1_000)).times(0.5);
+    }
+
+    // ---- the list
+
+    @Override
+    public void listed(Moment time, boolean complete, List<RosterEntry> entries) {
+        now = time;
+        stirred = true;
+        List<Host> absent = complete ? new ArrayList<>(hosts.values()) : new ArrayList<>();
+        for (RosterEntry entry : entries) {
+            Host host = hosts.computeIfAbsent(entry.id(), this::newHost);
+            absent.remove(host);
+            if (host.group == null) {
+                host.group = group(entry.group());
+                host.group.members.add(host);
+                host.group.members.sort(Comparator.comparing(h -> h.id));
+            }
+            host.zone = entry.zone();
+            host.kind = entry.kind();
+            host.size = entry.size() > 0 ? entry.size() : 1;
+            relist(host, entry.listing());
+            if (entry.startedAt().after(host.startedAt)) {
+                restarted(host, entry.startedAt());
+            }
+            listedRole(host, entry.primary());
+        }
+        absent.forEach(host -> relist(host, Host.Listing.GONE));
+    }
+
+    private Host newHost(String id) {
+        Host host = new Host(id);
+        host.inFlightLimit = FIRST_LIMIT;
+        return host;
+    }
+
+    private void relist(Host host, Host.Listing listing) {
+        if (host.listing != listing) {
+            host.listing = listing;
+            host.listingTold = now;
+        }
+        host.seenDraining = listing == Host.Listing.DRAINING || host.seenDraining && listing != Host.Listing.READY;
+    }
+
+    private void restarted(Host host, Moment startedAt) {
+        host.startedAt = startedAt;
+        host.inFlightLimit = FIRST_LIMIT / 2;
+        if (host.suspect && startedAt.after(host.suspectSince)) {
+            trust(host);
+        }
+    }
+
+    /** A late list must not overrule a fresher answer: only a change counts, and only where nothing better is known. */
+    private void listedRole(Host host, boolean primary) {
+        boolean changed = primary && !host.listedPrimary;
+        host.listedPrimary = primary;
+        Group group = host.group;
+        boolean open = group.primary == null || group.primary.suspect || !takesWork(group.primary);
+        boolean denied = host.toldReplica && now.since(host.lastHeard).shorterThan(LIST_LATENESS);
+        if (changed && open && !denied) {
+            lead(host, group.primaryTold);
+        }
+    }
+
+    // ---- what answers prove
+
+    private void lead(Host host, Moment spoken) {
+        Group group = host.group;
+        if (group.primary != host) {
+            group.lastNews = now;
+            stirred = true;
+        }
+        group.primary = host;
+        group.primaryTold = spoken;
+        host.wasPrimary = true;
+        host.toldReplica = false;
+    }
+
+    private void heardRole(Host host, Role role, Moment spoken) {
+        if (role == Role.PRIMARY && !spoken.before(host.group.primaryTold)) {
+            lead(host, spoken);
+        } else if (role == Role.REPLICA && (host.group.primary != host || !spoken.before(host.group.primaryTold))) {
+            host.toldReplica = true;
+            if (host.group.primary == host) {
+                host.group.primary = null;
+            }
+        }
+    }
+
+    private void heardPosition(Host host, Moment position) {
+        host.position = host.position.later(position);
+    }
+
+    @Override
+    public void probed(Moment time, Host host, boolean answered, Role role, Moment position) {
+        now = time;
+        host.probeOut = false;
+        host.probeAnswered = answered;
+        if (!answered) {
+            host.trialsFailed = Math.max(1, host.trialsFailed);
+            if (host.suspect) {
+                host.probeFailedWhileSuspect = true;
+            }
+            return;
+        }
+        if (position.after(Moment.NEVER)) {
+            heardPosition(host, position);
+            host.positionHeard = now;
+            // A report is as old as its position at the least, so a late report cannot overrule an answer.
+            heardRole(host, role, position);
+            stirred = true;
+        }
+    }
+
+    @Override
+    public void ended(Moment time, CallOut callOut, Outcome outcome, boolean closed, Role role, Moment position,
+            Span took) {
+        now = time;
+        stirred = true;
+        Rpc rpc = callOut.rpc;
+        Host host = callOut.host;
+        callOut.ended = true;
+        callOut.provenUnrun = outcome.provesUnrun;
+        host.out.remove(callOut);
+        rpc.out--;
+        if (!callOut.provenUnrun && rpc.firstMayHaveRun == null) {
+            rpc.firstMayHaveRun = callOut.sent;
+        }
+        if (outcome.answered) {
+            answered(callOut, outcome, role, position, took);
+        } else if (outcome == Outcome.UNREACHED) {
+            doubt(host);
+        }
+        if (outcome == Outcome.FULL) {
+            host.inFlightLimit = Math.max(LEAST_LIMIT, Math.min(host.inFlightLimit, host.out.size()) * LIMIT_CUT);
+        }
+        Input input = outcome == Outcome.OK ? Input.OK
+                : closed ? Input.LEFT : outcome.provesUnrun ? Input.UNRUN : Input.UNSURE;
+        step(rpc, input);
+    }
+
+    private void answered(CallOut callOut, Outcome outcome, Role role, Moment position, Span took) {
+        Rpc rpc = callOut.rpc;
+        Host host = callOut.host;
+        Freshness freshness = rpc.method.freshness();
+        host.lastHeard = now;
+        if (host.suspect) {
+            trust(host);
+        }
+        boolean committed = outcome == Outcome.OK && freshness == Freshness.WRITE;
+        if (position.after(Moment.NEVER)) {
+            // A commit is told rounded up, so the log is known applied only to just before it.
+            heardPosition(host, committed ? position.minus(COMMIT_ROUNDING) : position);
+            host.positionHeard = now;
+            if (committed && deployment.sessionsRemembered() && rpc.session != null) {
+                commits.put(rpc.session, new Commit(host.group, position));
+            }
+        }
+        heardRole(host, role, now);
+        boolean read = freshness != Freshness.WRITE;
+        if (read && deployment.hostChecks() == HostChecks.REFUSE) {
+            if (outcome == Outcome.OK) {
+                heardPosition(host, need(rpc, callOut.sent));
+                if (!callOut.sent.before(host.missedAt)) {
+                    host.missedAt = Moment.NEVER;
+                }
+            } else if (outcome == Outcome.MISS) {
+                host.missedAt = now;
+                rpc.replicaMissed = true;
+            }
+        }
+        if (outcome == Outcome.OK) {
+            pace(host, rpc.method, took);
+        }
+    }
+
+    /** Answer times, and from them how many of ours a host may hold. */
+    private void pace(Host host, Method method, Span took) {
+        double us = took.us();
+        allMeanUs += SMOOTHING * (us - allMeanUs);
+        meanUs[method.index()] += SMOOTHING * (us - meanUs[method.index()]);
+        host.answerMeanUs = host.answerMeanUs == 0 ? us : host.answerMeanUs + 2 * SMOOTHING * (us - host.answerMeanUs);
+        host.strain += 2 * SMOOTHING * (took.over(method.softDeadline()) - host.strain);
+        if (now.since(host.limitMoved).shorterThan(LIMIT_REST)) {
+            return;
+        }
+        if (host.strain > STRAINED) {
+            host.inFlightLimit = Math.max(LEAST_LIMIT, host.inFlightLimit * LIMIT_CUT);
+            host.limitMoved = now;
+        } else if (host.strain < EASY && host.out.size() + 1 >= host.inFlightLimit) {
+            host.inFlightLimit = Math.min(MOST_LIMIT, host.inFlightLimit + LIMIT_STEP);
+            host.limitMoved = now;
+        }
+    }
+
+    // ---- silence
+
+    /**
+     * Guards against hosts that take work and answer nothing, for whatever cause: hung, gone silent, cut off, stuck.
+     * The more call-outs wait, the sooner it is told. Harm: a host in a long pause loses its traffic for a moment.
+     */
+    private void listenTo(Host host) {
+        if (host.out.isEmpty()) {
+            return;
+        }
+        double waited = 0;
+        Moment quietSince = host.out.get(0).sent.later(host.lastHeard);
+        for (int i = 0; i < Math.min(SILENCE_VOICES, host.out.size()); i++) {
+            waited += now.since(host.out.get(i).sent.later(host.lastHeard)).us();
+        }
+        double mean = Math.max(allMeanUs, host.answerMeanUs);
+        if (!host.suspect && waited > SILENCE * mean && now.since(quietSince).longerThan(LEAST_SILENCE)) {
+            doubt(host);
+        } else if (host.suspect) {
+            for (CallOut trial : new ArrayList<>(host.out)) {
+                if (!trial.cancelled && now.since(trial.sent).us() > TRIAL_PATIENCE * mean) {
+                    rescue(trial);
+                }
+            }
+        }
+    }
+
+    private void doubt(Host host) {
+        if (!host.suspect) {
+            host.suspect = true;
+            host.suspectSince = now;
+            host.trialsFailed = 0;
+            host.probeAnswered = !deployment.probesAllowed();
+            host.probeFailedWhileSuspect = false;
+        } else {
+            host.trialsFailed++;
+        }
+        host.nextTrial = now.plus(TRIAL_EVERY.times(1 << Math.min(TRIAL_DOUBLINGS, host.trialsFailed)));
+        stirred = true;
+        for (CallOut callOut : new ArrayList<>(host.out)) {
+            rescue(callOut);
+        }
+    }
+
+    private void trust(Host host) {
+        if (host.probeFailedWhileSuspect) {
+            // It was gone, not just slow: it may be cold, though the list does not say so yet.
+            host.startedAt = host.startedAt.later(now);
+            host.inFlightLimit = FIRST_LIMIT / 2;
+        }
+        host.suspect = false;
+        host.trialsFailed = 0;
+        host.probeFailedWhileSuspect = false;
+    }
+
+    /** Sends what may run again elsewhere: as a second copy where allowed, else after calling the first one off. */
+    private void rescue(CallOut callOut) {
+        Rpc rpc = callOut.rpc;
+        if (rpc.stage != Stage.OUT || rpc.method.effect() != Effect.IDEMPOTENT || callOut.cancelled) {
+            return;
+        }
+        if (deployment.parallelCallOuts()) {
+            Host other = choose(rpc);
+            if (other != null) {
+                send(rpc, other);
+            }
+        } else if (deployment.cancelAllowed()) {
+            callOut.cancelled = true;
+            outbound.cancel(callOut);
+        }
+    }
+
+    /** A suspect host gets one idempotent RPC now and then, after a probe has shown that something runs there. */
+    private boolean trialDue(Host host, Rpc rpc) {
+        return rpc.method.effect() == Effect.IDEMPOTENT && rpc.callOuts.isEmpty() && host.probeAnswered
+                && !now.before(host.nextTrial);
+    }
+
+    // ---- RPCs
+
+    @Override
+    public void arrived(Moment time, Rpc rpc) {
+        now = time;
+        step(rpc, Input.ARRIVED);
+    }
+
+    @Override
+    public void left(Moment time, Rpc rpc) {
+        now = time;
+        step(rpc, Input.LEFT);
+    }
+
+    private void step(Rpc rpc, Input input) {
+        for (Row row : TABLE) {
+            if (row.state == rpc.stage && row.input == input) {
+                rpc.stage = row.next;
+                row.effect.accept(this, rpc);
+                return;
+            }
+        }
+    }
+
+    private void nothing(Rpc rpc) {
+    }
+
+    private void hold(Rpc rpc) {
+        held.add(rpc);
+        stirred = true;
+    }
+
+    private void admit(Rpc rpc) {
+        if (rpc.customer != null && rpc.customer.quotaPerSecond() > 0) {
+            int index = rpc.customer.index();
+            rpc.overShare = bucket[index] < 1;
+            bucket[index] -= rpc.overShare ? 0 : 1;
+        }
+        copyTokens = Math.min(COPY_BURST, copyTokens + COPY_SHARE);
+        double probeShare = deployment.probePrice() <= 0 ? MOST_PROBE_SHARE
+                : Math.min(MOST_PROBE_SHARE, PROBE_SPEND / deployment.probePrice());
+        probeTokens = Math.min(COPY_BURST, probeTokens + probeShare);
+        if (!rpc.group.used) {
+            rpc.group.used = true;
+            rpc.group.members.forEach(this::probeForPosition);
+        }
+        hold(rpc);
+    }
+
+    private void holdIfRepeatable(Rpc rpc) {
+        if (rpc.method.effect() == Effect.NON_IDEMPOTENT || !repeatable(rpc) || !now.before(rpc.deadline)) {
+            step(rpc, Input.HOPELESS);
+        } else {
+            hold(rpc);
+        }
+    }
+
+    private void finish(Rpc rpc) {
+        for (CallOut callOut : rpc.callOuts) {
+            if (!callOut.ended && !callOut.cancelled && deployment.cancelAllowed()
+                    && rpc.method.effect() == Effect.IDEMPOTENT) {
+                callOut.cancelled = true;
+                outbound.cancel(callOut);
+            }
+        }
+    }
+
+    private void answerUnserved(Rpc rpc) {
+        if (!mayPushBack(rpc)) {
+            outbound.abort(rpc);
+        } else {
+            Span wait = rpc.method.effect() == Effect.IDEMPOTENT ? deployment.longestBackoff()
+                    : deployment.longestBackoff().us() < WRITE_BACKOFF.us() ? deployment.longestBackoff()
+                    : WRITE_BACKOFF;
+            outbound.pushBack(rpc, deployment.backoffTold() ? wait : Span.ZERO);
+        }
+    }
+
+    /** Rule 2, for answers: a pushback says that trying again is harmless. */
+    private boolean mayPushBack(Rpc rpc) {
+        return rpc.out == 0 && switch (rpc.method.effect()) {
+            case IDEMPOTENT -> true;
+            case TOKENED -> rpc.firstMayHaveRun == null || rpc.method.repeatsAnywhere();
+            case NON_IDEMPOTENT -> rpc.firstMayHaveRun == null;
+        };
+    }
+
+    private Span mean(Method method) {
+        return new Span((long) meanUs[method.index()]);
+    }
+
+    private double worthNow(Rpc rpc) {
+        boolean late = now.since(rpc.arrived).longerThan(rpc.method.softDeadline());
+        return (late ? rpc.method.lateUtility() : rpc.method.utility())
+                * (rpc.overShare ? deployment.overShareUtility() : 1);
+    }
+
+    private void place(Rpc rpc) {
+        Host host = choose(rpc);
+        if (host != null && send(rpc, host)) {
+            return;
+        }
+        Method method = rpc.method;
+        Moment lastCall = rpc.deadline.minus(deployment.tick().times(2));
+        Moment lastUse = rpc.arrived.plus(method.softDeadline()).minus(mean(method).times(LEAST_USE));
+        boolean useless = method.lateUtility() <= 0 && !now.before(lastUse);
+        boolean shed = rpc.overShare && now.since(rpc.arrived).over(method.softDeadline()) > SHED_OVER_SHARE;
+        if (!now.before(lastCall) || useless || shed && mayPushBack(rpc)) {
+            step(rpc, Input.HOPELESS);
+        }
+    }
+
+    // ---- the ordinary path
+
+    /** The position a read must be answered from, if sent at this time. */
+    private Moment need(Rpc rpc, Moment sent) {
+        return switch (rpc.method.freshness()) {
+            case FRESH, WRITE -> rpc.arrived;
+            case BOUNDED -> sent.minus(rpc.method.bound());
+            case SESSION -> deployment.sessionsRemembered() && rpc.session != null
+                    ? commits.getOrDefault(rpc.session, NO_COMMIT).position : rpc.token;
+            case ANY -> Moment.NEVER;
+        };
+    }
+
+    private static final Commit NO_COMMIT = new Commit(null, Moment.NEVER);
+
+    private Host choose(Rpc rpc) {
+        Freshness freshness = rpc.method.freshness();
+        if (freshness == Freshness.WRITE || freshness == Freshness.FRESH) {
+            return choosePrimary(rpc);
+        }
+        Moment need = need(rpc, now);
+        Host passing = chooseReplica(rpc, need);
+        if (passing != null) {
+            return passing;
+        }
+        Group group = rpc.group;
+        boolean checks = deployment.hostChecks() == HostChecks.REFUSE;
+        if (checks && !rpc.replicaMissed && need.after(Moment.NEVER)) {
+            Host advanced = chooseAdvanced(rpc);
+            if (advanced != null) {
+                return advanced;
+            }
+        }
+        boolean waited = checks && rpc.replicaMissed || !now.since(rpc.arrived).shorterThan(BRIEF_WAIT);
+        return waited && group.primary != null && fit(rpc, group.primary)
+                && group.primary.out.size() < Math.max(1, READS_OF_PRIMARY * group.primary.inFlightLimit)
+                ? group.primary : null;
+    }
+
+    /** Fewest of our own call-outs in flight among the replicas known to be past the position; ties at random. */
+    private Host chooseReplica(Rpc rpc, Moment need) {
+        Host best = null;
+        int ties = 0;
+        boolean refresh = rpc.method.freshness() == Freshness.ANY && deployment.answersTellPosition();
+        for (Host host : rpc.group.members) {
+            if (host == rpc.group.primary || host.position.before(need) || !fit(rpc, host)) {
+                continue;
+            }
+            if (host.suspect) {
+                return host;
+            }
+            int order = best == null ? -1 : Integer.compare(host.out.size(), best.out.size());
+            if (refresh && best != null && (old(host) || old(best))) {
+                order = host.positionHeard.compareTo(best.positionHeard);
+            }
+            if (order == 0) {
+                ties++;
+            }
+            if (order < 0 || order == 0 && random.nextInt(ties) == 0) {
+                ties = order < 0 ? 1 : ties;
+                best = host;
+            }
+        }
+        return best;
+    }
+
+    private boolean old(Host host) {
+        return now.since(host.positionHeard).longerThan(halfBound);
+    }
+
+    /** Where hosts check for themselves: the most advanced replica, so far as is known, that has room. */
+    private Host chooseAdvanced(Rpc rpc) {
+        Host best = null;
+        for (Host host : rpc.group.members) {
+            if (host == rpc.group.primary || !fit(rpc, host)) {
+                continue;
+            }
+            if (host.suspect) {
+                return host;
+            }
+            int order = best == null ? -1 : host.missedAt.compareTo(best.missedAt);
+            if (order == 0) {
+                order = Integer.compare(host.out.size(), best.out.size());
+            }
+            if (order < 0 || order == 0 && random.nextBoolean()) {
+                best = host;
+            }
+        }
+        return best;
+    }
+
+    private Host choosePrimary(Rpc rpc) {
+        Group group = rpc.group;
+        if (group.primary != null && takesWork(group.primary)) {
+            return fit(rpc, group.primary) ? group.primary : null;
+        }
+        group.lastMisplaced = now;
+        if (rpc.method.freshness() == Freshness.FRESH) {
+            return null;
+        }
+        if (rpc.callOuts.size() >= Math.max(1, deployment.mostCallOuts() / 2)) {
+            return null;
+        }
+        for (Host host : group.members) {
+            boolean saidReplica = host.toldReplica && now.since(host.lastHeard).shorterThan(ROLE_HOLDS);
+            if (!saidReplica && !host.suspect && host.out.isEmpty() && fit(rpc, host)) {
+                return host;
+            }
+        }
+        return null;
+    }
+
+    private boolean takesWork(Host host) {
+        return host.listing == Host.Listing.READY;
+    }
+
+    /** Whether a host may be proposed: not silent (or due for a trial), with room, and let through by the gate. */
+    private boolean fit(Rpc rpc, Host host) {
+        if (host.suspect ? !trialDue(host, rpc) : host.out.size() >= host.inFlightLimit) {
+            return false;
+        }
+        return gate(rpc, host);
+    }
+
+    // ---- the gate
+
+    /** The five rules, for sends. Every send passes here and nowhere else. */
+    private boolean gate(Rpc rpc, Host host) {
+        return rpc.stage != Stage.OVER
+                && now.before(rpc.deadline)
+                && host.group == rpc.group
+                && rpc.callOuts.size() < deployment.mostCallOuts()
+                && (rpc.out == 0 || deployment.parallelCallOuts() && rpc.out < 2
+                        && rpc.method.effect() == Effect.IDEMPOTENT && !isOutAt(rpc, host))
+                && repeatable(rpc)
+                && drainLets(host)
+                && freshEnough(rpc, host)
+                && coldLets(host);
+    }
+
+    private boolean isOutAt(Rpc rpc, Host host) {
+        for (CallOut callOut : rpc.callOuts) {
+            if (!callOut.ended && callOut.host == host) {
+                return true;
+            }
+        }
+        return false;
+    }
+
+    /** Rule 2, for sends. An RPC never leaves its group, which is the scope within which marks are known. */
+    private boolean repeatable(Rpc rpc) {
+        return rpc.firstMayHaveRun == null || switch (rpc.method.effect()) {
+            case IDEMPOTENT -> true;
+            case TOKENED -> now.plus(deployment.tick()).since(rpc.firstMayHaveRun)
+                    .shorterThan(rpc.method.repeatWindow());
+            case NON_IDEMPOTENT -> false;
+        };
+    }
+
+    /** Rule 3. */
+    private boolean drainLets(Host host) {
+        return host.listing == Host.Listing.READY || deployment.onlyDrainingBinds() && !host.seenDraining;
+    }
+
+    /** Rule 5. A host held for the primary is excused until its own answer says otherwise. */
+    private boolean freshEnough(Rpc rpc, Host host) {
+        return rpc.method.freshness() == Freshness.WRITE || deployment.hostChecks() == HostChecks.REFUSE
+                || host == host.group.primary || !host.position.before(need(rpc, now));
+    }
+
+    /** Rule 4: our part of what all routers together may send a cold host within any window. */
+    private boolean coldLets(Host host) {
+        Span age = now.since(host.startedAt);
+        if (!age.shorterThan(deployment.warmAfter().plus(deployment.fallWindow()))) {
+            return true;
+        }
+        double warmth = Math.max(0, age.minus(deployment.fallWindow()).over(deployment.warmAfter()));
+        double share = deployment.coldShare() + (1 - deployment.coldShare()) * Math.min(1, warmth);
+        double fullRate = likeRate.getOrDefault(host.kind, 0.0) * host.size;
+        double budget = deployment.fallMultiple() * share * fullRate * deployment.fallWindow().us() / 1e6;
+        return sentWithin(host, deployment.fallWindow()) < Math.max(COLD_FLOOR, budget * COLD_MARGIN);
+    }
+
+    private int sentWithin(Host host, Span window) {
+        int count = 0;
+        while (count < host.sendsCount) {
+            int slot = (host.sendsHead - 1 - count + 2 * host.sends.length) % host.sends.length;
+            if (now.since(host.sends[slot]).longerThan(window)) {
+                break;
+            }
+            count++;
+        }
+        return count;
+    }
+
+    private boolean send(Rpc rpc, Host host) {
+        if (!gate(rpc, host)) {
+            return false;
+        }
+        CallOut callOut = new CallOut(rpc, host, rpc.callOuts.size(), now);
+        rpc.callOuts.add(callOut);
+        rpc.out++;
+        host.out.add(callOut);
+        if (host.suspect) {
+            host.nextTrial = now.plus(TRIAL_EVERY.times(1 << Math.min(TRIAL_DOUBLINGS, ++host.trialsFailed)));
+        }
+        noteSend(host);
+        boolean calledOff = deployment.cancelAllowed() || deployment.parallelCallOuts()
+                || rpc.method.effect() != Effect.IDEMPOTENT;
+        outbound.send(callOut, calledOff ? Span.ZERO : new Span((long) (SILENCE * allMeanUs)));
+        step(rpc, Input.SENT);
+        return true;
+    }
+
+    private void noteSend(Host host) {
+        host.sends[host.sendsHead] = now;
+        host.sendsHead = (host.sendsHead + 1) % host.sends.length;
+        host.sendsCount = Math.min(host.sends.length, host.sendsCount + 1);
+        double decay = Math.exp(-now.since(host.rateAt).us() / (double) RATE_OVER.us());
+        host.sendRate = host.sendRate * decay + 1e6 / RATE_OVER.us();
+        host.rateAt = now;
+        double best = likeRate.getOrDefault(host.kind, 0.0);
+        double rate = host.sendRate / host.size;
+        if (rate > best && coldDone(host)) {
+            likeRate.put(host.kind, best + 0.1 * (rate - best));
+        }
+    }
+
+    private boolean coldDone(Host host) {
+        return !now.since(host.startedAt).shorterThan(deployment.warmAfter());
+    }
+
+    // ---- the round of a batch
+
+    @Override
+    public void settle(Moment time) {
+        now = time;
+        boolean due = !now.before(nextLook);
+        if (due) {
+            nextLook = now.plus(LOOK_EVERY);
+            fillBuckets();
+            for (Host host : hosts.values()) {
+                listenTo(host);
+            }
+            secondCopies();
+            probeAround();
+        }
+        if (due || stirred) {
+            stirred = false;
+            placeHeld();
+        }
+        boolean busy = !held.isEmpty();
+        for (Host host : hosts.values()) {
+            busy |= !host.out.isEmpty();
+        }
+        if (busy && !wakeAsked.after(now)) {
+            wakeAsked = nextLook.after(now) ? nextLook : now.plus(LOOK_EVERY);
+            outbound.wakeAt(wakeAsked);
+        }
+    }
+
+    private void placeHeld() {
+        if (held.isEmpty()) {
+            return;
+        }
+        List<Rpc> round = new ArrayList<>(held);
+        held.clear();
+        if (round.size() > 1) {
+            round.sort(Comparator.comparingDouble((Rpc rpc) -> -worthNow(rpc) / meanUs[rpc.method.index()]));
+        }
+        for (Rpc rpc : round) {
+            step(rpc, Input.LOOK);
+            if (rpc.stage == Stage.HELD) {
+                held.add(rpc);
+            }
+        }
+    }
+
+    private void fillBuckets() {
+        double seconds = Math.min(BUCKET_SECONDS, now.since(bucketsFilled).us() / 1e6);
+        bucketsFilled = now;
+        for (Customer customer : deployment.customers()) {
+            double rate = customer.quotaPerSecond() / deployment.routers();
+            bucket[customer.index()] = Math.min(rate * BUCKET_SECONDS, bucket[customer.index()] + rate * seconds);
+        }
+        double keep = Math.exp(-LOOK_EVERY.us() / (double) RATE_MEMORY.us());
+        likeRate.replaceAll((kind, rate) -> rate * keep);
+        if (!commits.isEmpty()) {
+            commits.values().removeIf(commit -> commit.group.members.stream()
+                    .allMatch(host -> !takesWork(host) || !host.position.before(commit.position)));
+        }
+    }
+
+    /** Second copies of what is overdue, for a share of the traffic, and only while nothing is held for want of room. */
+    private void secondCopies() {
+        if (!deployment.parallelCallOuts() || !held.isEmpty()) {
+            return;
+        }
+        for (Host host : hosts.values()) {
+            for (int i = 0; i < host.out.size() && copyTokens >= 1; i++) {
+                CallOut callOut = host.out.get(i);
+                Rpc rpc = callOut.rpc;
+                if (rpc.stage != Stage.OUT || rpc.method.effect() != Effect.IDEMPOTENT
+                        || now.since(callOut.sent).us() < COPY_AFTER * meanUs[rpc.method.index()]
+                        || now.since(rpc.arrived).plus(mean(rpc.method)).longerThan(rpc.method.softDeadline())) {
+                    continue;
+                }
+                Host other = choose(rpc);
+                if (other != null && !other.suspect && send(rpc, other)) {
+                    copyTokens--;
+                }
+            }
+        }
+    }
+
+    /** Probes: for news of a missing primary, for a sign of life of suspects, and to keep positions young. */
+    private void probeAround() {
+        if (!deployment.probesAllowed()) {
+            return;
+        }
+        Host oldest = null;
+        for (Group group : groups.values()) {
+            boolean misplaced = now.since(group.lastMisplaced).shorterThan(NEWS_EVERY)
+                    || group.primary != null && group.primary.suspect;
+            for (Host host : group.members) {
+                if (!group.used || host.probeOut || host.listing == Host.Listing.GONE) {
+                    continue;
+                }
+                boolean ask = host.suspect || misplaced && deployment.probesTellPosition();
+                if (ask && !now.since(host.probedAt).shorterThan(NEWS_EVERY)) {
+                    probe(host);
+                } else if (host != group.primary && takesWork(host) && (oldest == null || moreNeeded(host, oldest))) {
+                    oldest = host;
+                }
+            }
+        }
+        if (oldest != null && deployment.probesTellPosition() && probeTokens >= 1 && !oldest.probeOut
+                && now.since(oldest.position).longerThan(halfBound)) {
+            probeTokens--;
+            probe(oldest);
+        }
+    }
+
+    private boolean moreNeeded(Host host, Host than) {
+        return host.probedAt.before(than.probedAt);
+    }
+
+    private void probeForPosition(Host host) {
+        if (deployment.probesAllowed() && deployment.probesTellPosition() && !host.probeOut
+                && host.listing != Host.Listing.GONE) {
+            probe(host);
+        }
+    }
+
+    private void probe(Host host) {
+        host.probeOut = true;
+        host.probedAt = now;
+        outbound.probe(host);
+    }
+
+    // ---- the door's look-ups
+
+    @Override
+    public Host host(String id) {
+        return hosts.get(id);
+    }
+
+    @Override
+    public Group group(int number) {
+        return groups.computeIfAbsent(number, Group::new);
+    }
+}
--- /dev/null
+++ b/src/main/java/ironwind/model/Group.java
@@ -0,0 +1,21 @@
+package ironwind.model;
+
+import java.util.ArrayList;
+import java.util.List;
+
+/** A primary and its replicas. State only. */
+public final class Group {
+    public final int number;
+    /** In id order. */
+    public final List<Host> members = new ArrayList<>();
+    public Host primary;
+    public Moment primaryTold = Moment.NEVER;
+    public boolean used;
+    public Moment lastNews = Moment.NEVER;
+    public Moment lastAsked = Moment.NEVER;
+    public Moment lastMisplaced = Moment.NEVER;
+
+    public Group(int number) {
+        this.number = number;
+    }
+}
--- /dev/null
+++ b/src/main/java/ironwind/model/Host.java
@@ -0,0 +1,59 @@
+package ironwind.model;
+
+import java.util.ArrayList;
+import java.util.List;
+
+/** One database host, as this router knows it. State only: the decision module writes every field. */
+public final class Host {
+    public final String id;
+    public Group group;
+    public int zone;
+    public int kind;
+    public double size = 1;
+
+    /** The list's word. */
+    public Listing listing = Listing.READY;
+    public Moment listingTold = Moment.NEVER;
+    public boolean seenDraining;
+    public boolean listedPrimary;
+    public Moment startedAt = Moment.NEVER;
+
+    /** Role and log position. */
+    public boolean wasPrimary;
+    public boolean toldReplica;
+    public Moment position = Moment.NEVER;
+    public Moment positionHeard = Moment.NEVER;
+    public Moment missedAt = Moment.NEVER;
+
+    /** Work of ours that it holds, oldest first, and how it has been answering. */
+    public final List<CallOut> out = new ArrayList<>();
+    public Moment lastHeard = Moment.NEVER;
+    public double answerMeanUs;
+    public double strain;
+    public double inFlightLimit;
+    public Moment limitMoved = Moment.NEVER;
+
+    /** Suspicion: silent or unreachable since, next trial, and what the last probe said. */
+    public boolean suspect;
+    public Moment suspectSince = Moment.NEVER;
+    public Moment nextTrial = Moment.NEVER;
+    public int trialsFailed;
+    public boolean probeOut;
+    public Moment probedAt = Moment.NEVER;
+    public boolean probeAnswered;
+    public boolean probeFailedWhileSuspect;
+
+    /** Sends, for the budget of a cold host: a ring of times, and a smoothed rate. */
+    public Moment[] sends = new Moment[64];
+    public int sendsHead;
+    public int sendsCount;
+    public double sendRate;
+    public Moment rateAt = Moment.NEVER;
+
+    public Host(String id) {
+        this.id = id;
+    }
+
+    /** What the list says of a host. */
+    public enum Listing { READY, DRAINING, GONE }
+}
--- /dev/null
+++ b/src/main/java/ironwind/model/Rpc.java
@@ -0,0 +1,54 @@
+package ironwind.model;
+
+import java.util.ArrayList;
+import java.util.List;
+
+/** One client RPC. State only, but for the facts it came with. */
+public final class Rpc {
+    public final String id;
+    public final Method method;
+    public final Customer customer;
+    public final Group group;
+    public final String session;
+    public final Moment arrived;
+    public final Moment deadline;
+    /** The position a session read must see; {@link Moment#NEVER} for none. */
+    public final Moment token;
+    public final boolean repeat;
+
+    public Stage stage = Stage.HELD;
+    public boolean overShare;
+    public final List<CallOut> callOuts = new ArrayList<>();
+    public int out;
+    /** Sent at, of the first call-out that may have run. */
+    public Moment firstMayHaveRun;
+    public Moment nextLook = Moment.NEVER;
+    public int roundSent;
+    public Moment roundEnded = Moment.NEVER;
+    public boolean replicaMissed;
+
+    public Rpc(String id, Method method, Customer customer, Group group, String session,
+            Moment arrived, Moment deadline, Moment token, boolean repeat) {
+        this.id = id;
+        this.method = method;
+        this.customer = customer;
+        this.group = group;
+        this.session = session;
+        this.arrived = arrived;
+        this.deadline = deadline;
+        this.token = token;
+        this.repeat = repeat;
+    }
+
+    /** Where an RPC stands. */
+    public enum Stage {
+        /** No call-out is out. */
+        HELD,
+        /** One call-out is out. */
+        OUT,
+        /** Two are out. */
+        TWICE_OUT,
+        /** Its final answer is given. */
+        OVER
+    }
+}
