--- a/src/main/java/ironwind/Logic.java
+++ b/src/main/java/ironwind/Logic.java
@@ -46,6 +46,12 @@
     private static final Span LEAST_SILENCE = Span.ofMillis(150);
     /** As many call-outs count for silence at most; more may be queueing at the host. */
     private static final int SILENCE_VOICES = 4;
+    /**
+     * A host that turns work away or errs rests, twice as long each time in a row. Guards against one that answers
+     * badly but fast and so looks idle. Harm: a full primary is used a little late.
+     */
+    private static final Span REST = Span.ofMillis(20);
+    private static final int REST_DOUBLINGS = 6;
     private static final double TRIAL_PATIENCE = 3;
     private static final Span TRIAL_EVERY = Span.ofMillis(400);
     private static final int TRIAL_DOUBLINGS = 3;
@@ -77,11 +83,10 @@
     private static final double SHED_OVER_SHARE = 0.15;
     /** An RPC is given up when less than so many mean answer times are left of its use. */
     private static final double LEAST_USE = 0.5;
-    /** Cold budgets: the part of the allowance used, and the sends always allowed in a window. */
+    /** Cold budgets: the part of the allowance used, and the sends of all routers always allowed in a window. */
     private static final double COLD_MARGIN = 0.6;
-    private static final double COLD_FLOOR = 2;
-    private static final Span RATE_OVER = Span.ofMillis(2_000);
-    private static final Span RATE_MEMORY = Span.ofMillis(30_000);
+    private static final double COLD_FLOOR = 3;
+    private static final Span RATE_OVER = Span.ofMillis(8_000);
     private static final Span WRITE_BACKOFF = Span.ofMillis(200);
     private static final Span COMMIT_ROUNDING = Span.ofMillis(1);
     private static final double FIRST_MEAN_US = 150_000;
@@ -121,11 +126,12 @@
     private final Span halfBound;
     private final double[] meanUs;
     private final double[] bucket;
-    private final Map<Integer, Double> likeRate = new TreeMap<>();
+    private final Map<Integer, Double> served = new TreeMap<>();
     private double allMeanUs = FIRST_MEAN_US;
     private double copyTokens;
     private double probeTokens;
     private Moment now = Moment.NEVER;
+    private Moment started = Moment.NEVER;
     private Moment bucketsFilled = Moment.NEVER;
     private Moment nextLook = Moment.NEVER;
     private Moment wakeAsked = Moment.NEVER;
@@ -153,6 +159,7 @@
     @Override
     public void listed(Moment time, boolean complete, List<RosterEntry> entries) {
         now = time;
+        started = started.us() == Moment.NEVER.us() ? now : started;
         stirred = true;
         List<Host> absent = complete ? new ArrayList<>(hosts.values()) : new ArrayList<>();
         for (RosterEntry entry : entries) {
@@ -191,6 +198,7 @@
 
     private void restarted(Host host, Moment startedAt) {
         host.startedAt = startedAt;
+        host.coldPhase = random.nextDouble();
         host.inFlightLimit = FIRST_LIMIT / 2;
         if (host.suspect && startedAt.after(host.suspectSince)) {
             trust(host);
@@ -294,6 +302,11 @@
         if (host.suspect) {
             trust(host);
         }
+        if (outcome == Outcome.FULL || outcome == Outcome.ERROR) {
+            host.restUntil = now.plus(REST.times(1 << Math.min(REST_DOUBLINGS, host.refusals++)));
+        } else {
+            host.refusals = 0;
+        }
         boolean committed = outcome == Outcome.OK && freshness == Freshness.WRITE;
         if (position.after(Moment.NEVER)) {
             // A commit is told rounded up, so the log is known applied only to just before it.
@@ -317,6 +330,9 @@
             }
         }
         if (outcome == Outcome.OK) {
+            if (coldDone(host)) {
+                served.merge(host.kind, 1.0, Double::sum);
+            }
             pace(host, rpc.method, took);
         }
     }
@@ -388,6 +404,7 @@
         if (host.probeFailedWhileSuspect) {
             // It was gone, not just slow: it may be cold, though the list does not say so yet.
             host.startedAt = host.startedAt.later(now);
+            host.coldPhase = random.nextDouble();
             host.inFlightLimit = FIRST_LIMIT / 2;
         }
         host.suspect = false;
@@ -648,6 +665,9 @@
 
     /** Whether a host may be proposed: not silent (or due for a trial), with room, and let through by the gate. */
     private boolean fit(Rpc rpc, Host host) {
+        if (now.before(host.restUntil)) {
+            return false;
+        }
         if (host.suspect ? !trialDue(host, rpc) : host.out.size() >= host.inFlightLimit) {
             return false;
         }
@@ -700,17 +720,37 @@
                 || host == host.group.primary || !host.position.before(need(rpc, now));
     }
 
-    /** Rule 4: our part of what all routers together may send a cold host within any window. */
+    /**
+     * Rule 4: our part of what all routers together may send a cold host within any window. A part below one send a
+     * window becomes a longer wait between sends, begun at a random point, so that many small routers keep it too.
+     */
     private boolean coldLets(Host host) {
         Span age = now.since(host.startedAt);
-        if (!age.shorterThan(deployment.warmAfter().plus(deployment.fallWindow()))) {
+        Span window = deployment.fallWindow();
+        if (!age.shorterThan(deployment.warmAfter().plus(window))) {
             return true;
         }
-        double warmth = Math.max(0, age.minus(deployment.fallWindow()).over(deployment.warmAfter()));
+        double warmth = Math.max(0, age.minus(window).over(deployment.warmAfter()));
         double share = deployment.coldShare() + (1 - deployment.coldShare()) * Math.min(1, warmth);
-        double fullRate = likeRate.getOrDefault(host.kind, 0.0) * host.size;
-        double budget = deployment.fallMultiple() * share * fullRate * deployment.fallWindow().us() / 1e6;
-        return sentWithin(host, deployment.fallWindow()) < Math.max(COLD_FLOOR, budget * COLD_MARGIN);
+        double everyone = deployment.fallMultiple() * share * window.us() / 1e6 * COLD_MARGIN;
+        double budget = Math.max(COLD_FLOOR / deployment.routers(), everyone * warmRate(host.kind) * host.size);
+        if (budget >= 1) {
+            return sentWithin(host, window) < (int) budget;
+        }
+        Span gap = window.times(1 / budget);
+        Moment last = host.sendsCount == 0 ? Moment.NEVER
+                : host.sends[(host.sendsHead - 1 + host.sends.length) % host.sends.length];
+        return !now.before(host.startedAt.plus(gap.times(host.coldPhase))) && !now.since(last).shorterThan(gap);
+    }
+
+    /** Our own RPCs that a warm host of this kind has lately served a second, per unit of listed size. */
+    private double warmRate(int kind) {
+        double sizes = 0;
+        for (Host host : hosts.values()) {
+            sizes += host.kind == kind && takesWork(host) && coldDone(host) ? host.size : 0;
+        }
+        double window = RATE_OVER.us() / 1e6 * (1 - Math.exp(-now.since(started).over(RATE_OVER)));
+        return sizes == 0 || window <= 0 ? 0 : served.getOrDefault(kind, 0.0) / sizes / window;
     }
 
     private int sentWithin(Host host, Span window) {
@@ -748,14 +788,6 @@
         host.sends[host.sendsHead] = now;
         host.sendsHead = (host.sendsHead + 1) % host.sends.length;
         host.sendsCount = Math.min(host.sends.length, host.sendsCount + 1);
-        double decay = Math.exp(-now.since(host.rateAt).us() / (double) RATE_OVER.us());
-        host.sendRate = host.sendRate * decay + 1e6 / RATE_OVER.us();
-        host.rateAt = now;
-        double best = likeRate.getOrDefault(host.kind, 0.0);
-        double rate = host.sendRate / host.size;
-        if (rate > best && coldDone(host)) {
-            likeRate.put(host.kind, best + 0.1 * (rate - best));
-        }
     }
 
     private boolean coldDone(Host host) {
@@ -815,8 +847,8 @@
             double rate = customer.quotaPerSecond() / deployment.routers();
             bucket[customer.index()] = Math.min(rate * BUCKET_SECONDS, bucket[customer.index()] + rate * seconds);
         }
-        double keep = Math.exp(-LOOK_EVERY.us() / (double) RATE_MEMORY.us());
-        likeRate.replaceAll((kind, rate) -> rate * keep);
+        double keep = Math.exp(-seconds * 1e6 / RATE_OVER.us());
+        served.replaceAll((kind, count) -> count * keep);
         if (!commits.isEmpty()) {
             commits.values().removeIf(commit -> commit.group.members.stream()
                     .allMatch(host -> !takesWork(host) || !host.position.before(commit.position)));
--- a/src/main/java/ironwind/model/Host.java
+++ b/src/main/java/ironwind/model/Host.java
@@ -43,12 +43,15 @@
     public boolean probeAnswered;
     public boolean probeFailedWhileSuspect;
 
-    /** Sends, for the budget of a cold host: a ring of times, and a smoothed rate. */
-    public Moment[] sends = new Moment[64];
+    /** Answers in a row that were no use, and the rest that follows from them. */
+    public int refusals;
+    public Moment restUntil = Moment.NEVER;
+
+    /** Sends, for the budget of a cold host: a ring of their times, and where in a gap the first may fall. */
+    public final Moment[] sends = new Moment[128];
     public int sendsHead;
     public int sendsCount;
-    public double sendRate;
-    public Moment rateAt = Moment.NEVER;
+    public double coldPhase;
 
     public Host(String id) {
         this.id = id;
