--- a/src/main/java/ironwind/Logic.java
+++ b/src/main/java/ironwind/Logic.java
@@ -14,6 +14,7 @@
 import ironwind.model.Outbound;
 import ironwind.model.Outcome;
 import ironwind.model.Role;
+import ironwind.model.Room;
 import ironwind.model.RosterEntry;
 import ironwind.model.Rpc;
 import ironwind.model.Rpc.Stage;
@@ -79,6 +80,7 @@
     /** Reads may take so much of the primary's room; the rest is for what only the primary takes. */
     private static final double READS_OF_PRIMARY = 0.6;
     private static final double SMOOTHING = 0.08;
+    private static final double HOST_SMOOTHING = 0.16;
     /** How long the oldest held RPC waits, in soft deadlines, before over-share traffic is shed. */
     private static final double SHED_OVER_SHARE = 0.15;
     /** An RPC is given up when less than so many mean answer times are left of its use. */
@@ -120,6 +122,8 @@
     private final Outbound outbound;
     private final Map<String, Host> hosts = new LinkedHashMap<>();
     private final Map<Integer, Group> groups = new TreeMap<>();
+    private final Room primaries = new Room(MOST_LIMIT);
+    private final Room replicas = new Room(MOST_LIMIT);
     private final List<Rpc> held = new ArrayList<>();
     private final List<Rpc> arrivals = new ArrayList<>();
     private final Map<String, Commit> commits = new LinkedHashMap<>();
@@ -184,7 +188,7 @@
 
     private Host newHost(String id) {
         Host host = new Host(id);
-        host.inFlightLimit = FIRST_LIMIT;
+        host.room.limit = FIRST_LIMIT;
         return host;
     }
 
@@ -199,7 +203,7 @@
     private void restarted(Host host, Moment startedAt) {
         host.startedAt = startedAt;
         host.coldPhase = random.nextDouble();
-        host.inFlightLimit = FIRST_LIMIT / 2;
+        host.room.limit = FIRST_LIMIT / 2;
         if (host.suspect && startedAt.after(host.suspectSince)) {
             trust(host);
         }
@@ -277,6 +281,7 @@
         callOut.ended = true;
         callOut.provenUnrun = outcome.provesUnrun;
         host.out.remove(callOut);
+        callOut.pool.out--;
         rpc.out--;
         if (!callOut.provenUnrun && rpc.firstMayHaveRun == null) {
             rpc.firstMayHaveRun = callOut.sent;
@@ -287,7 +292,7 @@
             doubt(host);
         }
         if (outcome == Outcome.FULL) {
-            host.inFlightLimit = Math.max(LEAST_LIMIT, Math.min(host.inFlightLimit, host.out.size()) * LIMIT_CUT);
+            host.room.limit = Math.max(LEAST_LIMIT, Math.min(host.room.limit, host.out.size()) * LIMIT_CUT);
         }
         Input input = outcome == Outcome.OK ? Input.OK
                 : closed ? Input.LEFT : outcome.provesUnrun ? Input.UNRUN : Input.UNSURE;
@@ -333,26 +338,57 @@
             if (coldDone(host)) {
                 served.merge(host.kind, 1.0, Double::sum);
             }
-            pace(host, rpc.method, took);
+            timed(callOut, took);
         }
     }
 
-    /** Answer times, and from them how many of ours a host may hold. */
-    private void pace(Host host, Method method, Span took) {
+    private void timed(CallOut callOut, Span took) {
+        Host host = callOut.host;
+        Method method = callOut.rpc.method;
         double us = took.us();
         allMeanUs += SMOOTHING * (us - allMeanUs);
         meanUs[method.index()] += SMOOTHING * (us - meanUs[method.index()]);
-        host.answerMeanUs = host.answerMeanUs == 0 ? us : host.answerMeanUs + 2 * SMOOTHING * (us - host.answerMeanUs);
-        host.strain += 2 * SMOOTHING * (took.over(method.softDeadline()) - host.strain);
-        if (now.since(host.limitMoved).shorterThan(LIMIT_REST)) {
+        host.answerMeanUs = host.answerMeanUs == 0 ? us : host.answerMeanUs + HOST_SMOOTHING * (us - host.answerMeanUs);
+        strained(callOut, took.over(method.softDeadline()));
+    }
+
+    private void strained(CallOut callOut, double ratio) {
+        pace(callOut.host.room, ratio, HOST_SMOOTHING, callOut.host.out.size());
+        pace(callOut.pool, ratio, SMOOTHING, callOut.pool.out);
+    }
+
+    /** How many of ours may be out, by how answer times compare with soft deadlines. */
+    private void pace(Room room, double ratio, double smoothing, int out) {
+        room.strain += smoothing * (ratio - room.strain);
+        if (now.since(room.moved).shorterThan(LIMIT_REST)) {
             return;
         }
-        if (host.strain > STRAINED) {
-            host.inFlightLimit = Math.max(LEAST_LIMIT, host.inFlightLimit * LIMIT_CUT);
-            host.limitMoved = now;
-        } else if (host.strain < EASY && host.out.size() + 1 >= host.inFlightLimit) {
-            host.inFlightLimit = Math.min(MOST_LIMIT, host.inFlightLimit + LIMIT_STEP);
-            host.limitMoved = now;
+        if (room.strain > STRAINED) {
+            room.limit = Math.max(LEAST_LIMIT, Math.min(room.limit, out + 1) * LIMIT_CUT);
+            room.moved = now;
+        } else if (room.strain < EASY && out + 1 >= room.limit) {
+            room.limit = Math.min(MOST_LIMIT, room.limit + LIMIT_STEP);
+            room.moved = now;
+        }
+    }
+
+    private boolean roomAt(Host host) {
+        Room pool = poolOf(host);
+        return host.out.size() < host.room.limit && pool.out < pool.limit;
+    }
+
+    private Room poolOf(Host host) {
+        return host == host.group.primary ? primaries : replicas;
+    }
+
+    /** What has passed its soft deadline unanswered says so before its answer does. */
+    private void noteOverdue(Host host) {
+        for (CallOut callOut : host.out) {
+            Span waited = now.since(callOut.sent);
+            if (!callOut.overdue && waited.longerThan(callOut.rpc.method.softDeadline())) {
+                callOut.overdue = true;
+                strained(callOut, 1);
+            }
         }
     }
 
@@ -405,7 +441,7 @@
             // It was gone, not just slow: it may be cold, though the list does not say so yet.
             host.startedAt = host.startedAt.later(now);
             host.coldPhase = random.nextDouble();
-            host.inFlightLimit = FIRST_LIMIT / 2;
+            host.room.limit = FIRST_LIMIT / 2;
         }
         host.suspect = false;
         host.trialsFailed = 0;
@@ -582,14 +618,14 @@
         }
         boolean waited = checks && rpc.replicaMissed || !now.since(rpc.arrived).shorterThan(BRIEF_WAIT);
         return waited && group.primary != null && fit(rpc, group.primary)
-                && group.primary.out.size() < Math.max(1, READS_OF_PRIMARY * group.primary.inFlightLimit)
+                && group.primary.out.size() < Math.max(1, READS_OF_PRIMARY * group.primary.room.limit)
                 ? group.primary : null;
     }
 
-    /** Fewest of our own call-outs in flight among the replicas known to be past the position; ties at random. */
+    /** Fewest of our own call-outs in flight among the replicas known to be past the position. */
     private Host chooseReplica(Rpc rpc, Moment need) {
         Host best = null;
-        int ties = 0;
+        double weights = 0;
         boolean refresh = rpc.method.freshness() == Freshness.ANY && deployment.answersTellPosition();
         for (Host host : rpc.group.members) {
             if (host == rpc.group.primary || host.position.before(need) || !fit(rpc, host)) {
@@ -602,17 +638,23 @@
             if (refresh && best != null && (old(host) || old(best))) {
                 order = host.positionHeard.compareTo(best.positionHeard);
             }
-            if (order == 0) {
-                ties++;
-            }
-            if (order < 0 || order == 0 && random.nextInt(ties) == 0) {
-                ties = order < 0 ? 1 : ties;
+            weights = (order < 0 ? 0 : weights) + (order <= 0 ? chance(host) : 0);
+            if (order < 0 || order == 0 && random.nextDouble() * weights < chance(host)) {
                 best = host;
             }
         }
         return best;
     }
 
+    /**
+     * Ties at random, with better chances for hosts seen to answer sooner: a router with little traffic has mostly
+     * ties, and would load a slow host like a fast one.
+     */
+    private double chance(Host host) {
+        double speed = allMeanUs / (host.answerMeanUs == 0 ? allMeanUs : host.answerMeanUs);
+        return speed * speed;
+    }
+
     private boolean old(Host host) {
         return now.since(host.positionHeard).longerThan(halfBound);
     }
@@ -620,6 +662,7 @@
     /** Where hosts check for themselves: the most advanced replica, so far as is known, that has room. */
     private Host chooseAdvanced(Rpc rpc) {
         Host best = null;
+        double weights = 0;
         for (Host host : rpc.group.members) {
             if (host == rpc.group.primary || !fit(rpc, host)) {
                 continue;
@@ -631,7 +674,8 @@
             if (order == 0) {
                 order = Integer.compare(host.out.size(), best.out.size());
             }
-            if (order < 0 || order == 0 && random.nextBoolean()) {
+            weights = (order < 0 ? 0 : weights) + (order <= 0 ? chance(host) : 0);
+            if (order < 0 || order == 0 && random.nextDouble() * weights < chance(host)) {
                 best = host;
             }
         }
@@ -668,7 +712,7 @@
         if (now.before(host.restUntil)) {
             return false;
         }
-        if (host.suspect ? !trialDue(host, rpc) : host.out.size() >= host.inFlightLimit) {
+        if (host.suspect ? !trialDue(host, rpc) : !roomAt(host)) {
             return false;
         }
         return gate(rpc, host);
@@ -769,7 +813,8 @@
         if (!gate(rpc, host)) {
             return false;
         }
-        CallOut callOut = new CallOut(rpc, host, rpc.callOuts.size(), now);
+        CallOut callOut = new CallOut(rpc, host, poolOf(host), rpc.callOuts.size(), now);
+        callOut.pool.out++;
         rpc.callOuts.add(callOut);
         rpc.out++;
         host.out.add(callOut);
@@ -804,6 +849,7 @@
             nextLook = now.plus(LOOK_EVERY);
             fillBuckets();
             for (Host host : hosts.values()) {
+                noteOverdue(host);
                 listenTo(host);
             }
             secondCopies();
--- a/src/main/java/ironwind/model/CallOut.java
+++ b/src/main/java/ironwind/model/CallOut.java
@@ -4,15 +4,19 @@
 public final class CallOut {
     public final Rpc rpc;
     public final Host host;
+    /** The router-wide room it takes up. */
+    public final Room pool;
     public final int number;
     public final Moment sent;
     public boolean ended;
     public boolean provenUnrun;
     public boolean cancelled;
+    public boolean overdue;
 
-    public CallOut(Rpc rpc, Host host, int number, Moment sent) {
+    public CallOut(Rpc rpc, Host host, Room pool, int number, Moment sent) {
         this.rpc = rpc;
         this.host = host;
+        this.pool = pool;
         this.number = number;
         this.sent = sent;
     }
--- a/src/main/java/ironwind/model/Host.java
+++ b/src/main/java/ironwind/model/Host.java
@@ -29,9 +29,7 @@
     public final List<CallOut> out = new ArrayList<>();
     public Moment lastHeard = Moment.NEVER;
     public double answerMeanUs;
-    public double strain;
-    public double inFlightLimit;
-    public Moment limitMoved = Moment.NEVER;
+    public final Room room = new Room(0);
 
     /** Suspicion: silent or unreachable since, next trial, and what the last probe said. */
     public boolean suspect;
