--- a/src/main/java/ironwind/Logic.java
+++ b/src/main/java/ironwind/Logic.java
@@ -72,8 +72,8 @@
     private static final double FIRST_LIMIT = 8;
     private static final double MOST_LIMIT = 64;
     private static final double LEAST_LIMIT = 1;
-    private static final double STRAINED = 0.6;
-    private static final double EASY = 0.45;
+    private static final double STRAINED = 0.5;
+    private static final double EASY = 0.38;
     private static final double LIMIT_CUT = 0.85;
     private static final double LIMIT_STEP = 0.5;
     private static final Span LIMIT_REST = Span.ofMillis(100);
@@ -385,7 +385,7 @@
     private void noteOverdue(Host host) {
         for (CallOut callOut : host.out) {
             Span waited = now.since(callOut.sent);
-            if (!callOut.overdue && waited.longerThan(callOut.rpc.method.softDeadline())) {
+            if (!callOut.overdue && !host.suspect && waited.longerThan(callOut.rpc.method.softDeadline())) {
                 callOut.overdue = true;
                 strained(callOut, 1);
             }
