Replicas known to be behind are left alone where hosts check for themselves

Cause: after a miss an RPC could only wait for the primary, and laggards were asked again and again.

--- a/src/main/java/ironwind/Logic.java
+++ b/src/main/java/ironwind/Logic.java
@@ -59,6 +59,9 @@
     private static final Span NEWS_EVERY = Span.ofMillis(250);
     /** A word as replica is taken as still true in the search for a primary for so long. */
     private static final Span ROLE_HOLDS = Span.ofMillis(400);
+    /** How long a miss, and a reported position, tell that a replica is behind. */
+    private static final Span MISS_HOLDS = Span.ofMillis(400);
+    private static final Span REPORT_HOLDS = Span.ofMillis(3_000);
     /** A list naming a host that has called itself a replica since is late. */
     private static final Span LIST_LATENESS = Span.ofMillis(10_000);
     /** Part of the result that probes for positions may cost. */
@@ -265,6 +268,11 @@
         if (position.after(Moment.NEVER)) {
             heardPosition(host, position);
             host.positionHeard = now;
+            host.reportHeard = now;
+            host.lateness = now.since(position);
+            host.group.leastLateness = host.group.members.stream()
+                    .filter(h -> now.since(h.reportHeard).shorterThan(REPORT_HOLDS))
+                    .map(h -> h.lateness).min(Comparator.naturalOrder()).orElse(Span.ZERO);
             // A report is as old as its position at the least, so a late report cannot overrule an answer.
             heardRole(host, role, position);
             stirred = true;
@@ -326,11 +334,13 @@
         if (read && deployment.hostChecks() == HostChecks.REFUSE) {
             if (outcome == Outcome.OK) {
                 heardPosition(host, need(rpc, callOut.sent));
-                if (!callOut.sent.before(host.missedAt)) {
+                if (!need(rpc, callOut.sent).before(host.missedNeed)) {
                     host.missedAt = Moment.NEVER;
+                    host.missedNeed = Moment.NEVER;
                 }
             } else if (outcome == Outcome.MISS) {
                 host.missedAt = now;
+                host.missedNeed = need(rpc, callOut.sent);
                 rpc.replicaMissed = true;
             }
         }
@@ -610,8 +620,8 @@
         }
         Group group = rpc.group;
         boolean checks = deployment.hostChecks() == HostChecks.REFUSE;
-        if (checks && !rpc.replicaMissed && need.after(Moment.NEVER)) {
-            Host advanced = chooseAdvanced(rpc);
+        if (checks && need.after(Moment.NEVER)) {
+            Host advanced = chooseAdvanced(rpc, need);
             if (advanced != null) {
                 return advanced;
             }
@@ -659,21 +669,22 @@
         return now.since(host.positionHeard).longerThan(halfBound);
     }
 
-    /** Where hosts check for themselves: the most advanced replica, so far as is known, that has room. */
-    private Host chooseAdvanced(Rpc rpc) {
+    /**
+     * Where hosts check for themselves: the most advanced replica, so far as is known, that has room. Those not known
+     * to be behind count as equally advanced, so that one of them is not drowned; one that has missed is left alone
+     * until it is heard to have caught up, or for a while. Harm: a replica that catches up is used a little late.
+     */
+    private Host chooseAdvanced(Rpc rpc, Moment need) {
         Host best = null;
         double weights = 0;
         for (Host host : rpc.group.members) {
-            if (host == rpc.group.primary || !fit(rpc, host)) {
+            if (host == rpc.group.primary || behind(host, need) || !fit(rpc, host) || triedAt(rpc, host)) {
                 continue;
             }
             if (host.suspect) {
                 return host;
             }
-            int order = best == null ? -1 : host.missedAt.compareTo(best.missedAt);
-            if (order == 0) {
-                order = Integer.compare(host.out.size(), best.out.size());
-            }
+            int order = best == null ? -1 : Integer.compare(host.out.size(), best.out.size());
             weights = (order < 0 ? 0 : weights) + (order <= 0 ? chance(host) : 0);
             if (order < 0 || order == 0 && random.nextDouble() * weights < chance(host)) {
                 best = host;
@@ -682,6 +693,26 @@
         return best;
     }
 
+    /**
+     * Whether a replica would miss: by its last miss, or by how much further behind its report was than the group's
+     * best (late reports make all look behind alike, and tell nothing).
+     */
+    private boolean behind(Host host, Moment need) {
+        boolean missedLately = !need.before(host.missedNeed) && now.since(host.missedAt).shorterThan(MISS_HOLDS);
+        boolean lagging = now.since(host.reportHeard).shorterThan(REPORT_HOLDS)
+                && now.minus(host.lateness.minus(host.group.leastLateness)).before(need);
+        return missedLately || lagging;
+    }
+
+    private static boolean triedAt(Rpc rpc, Host host) {
+        for (CallOut callOut : rpc.callOuts) {
+            if (callOut.host == host) {
+                return true;
+            }
+        }
+        return false;
+    }
+
     private Host choosePrimary(Rpc rpc) {
         Group group = rpc.group;
         if (group.primary != null && takesWork(group.primary)) {
--- a/src/main/java/ironwind/model/Group.java
+++ b/src/main/java/ironwind/model/Group.java
@@ -10,9 +10,9 @@
     public final List<Host> members = new ArrayList<>();
     public Host primary;
     public Moment primaryTold = Moment.NEVER;
+    public Span leastLateness = Span.ZERO;
     public boolean used;
     public Moment lastNews = Moment.NEVER;
-    public Moment lastAsked = Moment.NEVER;
     public Moment lastMisplaced = Moment.NEVER;
 
     public Group(int number) {
--- a/src/main/java/ironwind/model/Host.java
+++ b/src/main/java/ironwind/model/Host.java
@@ -23,7 +23,12 @@
     public boolean toldReplica;
     public Moment position = Moment.NEVER;
     public Moment positionHeard = Moment.NEVER;
+    public Moment reportHeard = Moment.NEVER;
+    /** How old the reported position was when it was heard. */
+    public Span lateness = Span.ZERO;
     public Moment missedAt = Moment.NEVER;
+    /** The position it was found not to have reached. */
+    public Moment missedNeed = Moment.NEVER;
 
     /** Work of ours that it holds, oldest first, and how it has been answering. */
     public final List<CallOut> out = new ArrayList<>();
