--- a/src/main/java/ironwind/Logic.java
+++ b/src/main/java/ironwind/Logic.java
@@ -73,12 +73,13 @@
     private static final double COPY_BURST = 10;
     /** In-flight limits: how they start, move and end, told by answer times as parts of the soft deadline. */
     private static final double FIRST_LIMIT = 8;
-    private static final double MOST_LIMIT = 64;
+    private static final double MOST_LIMIT = 256;
     private static final double LEAST_LIMIT = 1;
     private static final double STRAINED = 0.5;
     private static final double EASY = 0.38;
     private static final double LIMIT_CUT = 0.85;
     private static final double LIMIT_STEP = 0.5;
+    private static final double LIMIT_GROWTH = 1.05;
     private static final Span LIMIT_REST = Span.ofMillis(100);
     /** Reads may take so much of the primary's room; the rest is for what only the primary takes. */
     private static final double READS_OF_PRIMARY = 0.6;
@@ -377,7 +378,7 @@
             room.limit = Math.max(LEAST_LIMIT, Math.min(room.limit, out + 1) * LIMIT_CUT);
             room.moved = now;
         } else if (room.strain < EASY && out + 1 >= room.limit) {
-            room.limit = Math.min(MOST_LIMIT, room.limit + LIMIT_STEP);
+            room.limit = Math.min(MOST_LIMIT, room.limit * LIMIT_GROWTH + LIMIT_STEP);
             room.moved = now;
         }
     }
@@ -614,17 +615,14 @@
             return choosePrimary(rpc);
         }
         Moment need = need(rpc, now);
-        Host passing = chooseReplica(rpc, need);
-        if (passing != null) {
-            return passing;
-        }
         Group group = rpc.group;
         boolean checks = deployment.hostChecks() == HostChecks.REFUSE;
-        if (checks && need.after(Moment.NEVER)) {
-            Host advanced = chooseAdvanced(rpc, need);
-            if (advanced != null) {
-                return advanced;
-            }
+        Host replica = chooseReplica(rpc, need, false);
+        if (replica == null && checks && need.after(Moment.NEVER)) {
+            replica = chooseReplica(rpc, need, true);
+        }
+        if (replica != null) {
+            return replica;
         }
         boolean waited = checks && rpc.replicaMissed || !now.since(rpc.arrived).shorterThan(BRIEF_WAIT);
         return waited && group.primary != null && fit(rpc, group.primary)
@@ -632,21 +630,25 @@
                 ? group.primary : null;
     }
 
-    /** Fewest of our own call-outs in flight among the replicas known to be past the position. */
-    private Host chooseReplica(Rpc rpc, Moment need) {
+    /**
+     * Fewest of our own call-outs in flight among the replicas known to be past the position; with {@code presumed},
+     * among the most advanced: where hosts check for themselves, all not known to be behind count as equally
+     * advanced, so that one of them is not drowned. Harm: a replica that catches up is used a little late.
+     */
+    private Host chooseReplica(Rpc rpc, Moment need, boolean presumed) {
         Host best = null;
         double weights = 0;
-        boolean refresh = rpc.method.freshness() == Freshness.ANY && deployment.answersTellPosition();
         for (Host host : rpc.group.members) {
-            if (host == rpc.group.primary || host.position.before(need) || !fit(rpc, host)) {
+            boolean passes = presumed ? !behind(host, need) && !triedAt(rpc, host) : !host.position.before(need);
+            if (host == rpc.group.primary || !passes || !fit(rpc, host)) {
                 continue;
             }
             if (host.suspect) {
                 return host;
             }
             int order = best == null ? -1 : Integer.compare(host.out.size(), best.out.size());
-            if (refresh && best != null && (old(host) || old(best))) {
-                order = host.positionHeard.compareTo(best.positionHeard);
+            if (order == 0 && deployment.answersTellPosition() && lapsing(host) != lapsing(best)) {
+                order = lapsing(host) ? -1 : 1;
             }
             weights = (order < 0 ? 0 : weights) + (order <= 0 ? chance(host) : 0);
             if (order < 0 || order == 0 && random.nextDouble() * weights < chance(host)) {
@@ -665,32 +667,13 @@
         return speed * speed;
     }
 
-    private boolean old(Host host) {
-        return now.since(host.positionHeard).longerThan(halfBound);
-    }
-
     /**
-     * Where hosts check for themselves: the most advanced replica, so far as is known, that has room. Those not known
-     * to be behind count as equally advanced, so that one of them is not drowned; one that has missed is left alone
-     * until it is heard to have caught up, or for a while. Harm: a replica that catches up is used a little late.
+     * Whether a position that only answers keep young is about to lapse. Ties go to such a replica, so that a router
+     * with little traffic keeps as many replicas known as its traffic can, instead of none.
      */
-    private Host chooseAdvanced(Rpc rpc, Moment need) {
-        Host best = null;
-        double weights = 0;
-        for (Host host : rpc.group.members) {
-            if (host == rpc.group.primary || behind(host, need) || !fit(rpc, host) || triedAt(rpc, host)) {
-                continue;
-            }
-            if (host.suspect) {
-                return host;
-            }
-            int order = best == null ? -1 : Integer.compare(host.out.size(), best.out.size());
-            weights = (order < 0 ? 0 : weights) + (order <= 0 ? chance(host) : 0);
-            if (order < 0 || order == 0 && random.nextDouble() * weights < chance(host)) {
-                best = host;
-            }
-        }
-        return best;
+    private boolean lapsing(Host host) {
+        Span age = now.since(host.position);
+        return age.longerThan(halfBound) && !age.longerThan(halfBound.times(2));
     }
 
     /**
