--- a/src/main/java/ironwind/Logic.java
+++ b/src/main/java/ironwind/Logic.java
@@ -79,7 +79,7 @@
     private static final double EASY = 0.38;
     private static final double LIMIT_CUT = 0.85;
     private static final double LIMIT_STEP = 0.5;
-    private static final double LIMIT_GROWTH = 1.05;
+    private static final double LIMIT_GROWTH = 0.08;
     private static final Span LIMIT_REST = Span.ofMillis(100);
     /** Reads may take so much of the primary's room; the rest is for what only the primary takes. */
     private static final double READS_OF_PRIMARY = 0.6;
@@ -312,14 +312,15 @@
         Rpc rpc = callOut.rpc;
         Host host = callOut.host;
         Freshness freshness = rpc.method.freshness();
-        host.lastHeard = now;
-        if (host.suspect) {
-            trust(host);
-        }
         if (outcome == Outcome.FULL || outcome == Outcome.ERROR) {
+            // A hung host whose queue is full still turns work away: that is no sign of health.
             host.restUntil = now.plus(REST.times(1 << Math.min(REST_DOUBLINGS, host.refusals++)));
         } else {
+            host.lastHeard = now;
             host.refusals = 0;
+            if (host.suspect) {
+                trust(host);
+            }
         }
         boolean committed = outcome == Outcome.OK && freshness == Freshness.WRITE;
         if (position.after(Moment.NEVER)) {
@@ -378,7 +379,8 @@
             room.limit = Math.max(LEAST_LIMIT, Math.min(room.limit, out + 1) * LIMIT_CUT);
             room.moved = now;
         } else if (room.strain < EASY && out + 1 >= room.limit) {
-            room.limit = Math.min(MOST_LIMIT, room.limit * LIMIT_GROWTH + LIMIT_STEP);
+            double ease = 1 - room.strain / EASY;
+            room.limit = Math.min(MOST_LIMIT, room.limit * (1 + LIMIT_GROWTH * ease) + LIMIT_STEP);
             room.moved = now;
         }
     }
