--- /dev/null
+++ b/src/test/java/ironwind/LogicTest.java
@@ -0,0 +1,246 @@
+package ironwind;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import ironwind.model.Deployment.HostChecks;
+import ironwind.model.Effect;
+import ironwind.model.Outcome;
+import ironwind.model.Role;
+import ironwind.model.Rpc;
+import ironwind.model.Rpc.Stage;
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+class LogicTest {
+    private static Scene scene(HostChecks checks) {
+        return new Scene(checks, checks == HostChecks.NONE, Effect.NON_IDEMPOTENT, 2).list(true, "a:primary", "b", "c");
+    }
+
+    /** Lets b and c tell positions of these ages by answering any-reads. */
+    private static Scene positions(long ageOfB, long ageOfC) {
+        Scene scene = scene(HostChecks.NONE);
+        Rpc first = scene.arrive(Scene.ANY);
+        Rpc second = scene.arrive(Scene.ANY);
+        for (Rpc rpc : List.of(first, second)) {
+            scene.end(rpc, Outcome.OK, Role.REPLICA, Scene.path(rpc).equals("b") ? ageOfB : ageOfC);
+        }
+        return scene;
+    }
+
+    @ParameterizedTest(name = "method {0}, token {1} ms old, b {2} ms and c {3} ms behind: {4}")
+    @CsvSource({
+        "2, 200, 100, 250, b", "2, 200, 250, 100, c", "2, 100, 200, 200, a", "2, 0, 900, 900, b|c",
+        "3, 0, 100, 400, b", "3, 0, 400, 290, c", "3, 0, 400, 400, a", "1, 0, 0, 0, a", "0, 0, 0, 0, a"})
+    void gateTakesReplicasKnownPastThePositionElseThePrimaryAfterABriefWait(int method, long token, long b, long c,
+            String expected) {
+        Scene scene = positions(b, c);
+        Rpc rpc = scene.arrive(method, token);
+        scene.pass(40);
+        assertThat(expected.split("\\|")).contains(Scene.path(rpc));
+    }
+
+    @Test
+    void fewestOwnInFlightWinsAmongPassingReplicas() {
+        Scene scene = positions(10, 10);
+        Rpc first = scene.arrive(Scene.BOUNDED);
+        Rpc second = scene.arrive(Scene.BOUNDED);
+        assertThat(List.of(Scene.path(first), Scene.path(second))).containsExactlyInAnyOrder("b", "c");
+    }
+
+    @Test
+    void whereHostsCheckAReplicaIsTriedThenThePrimaryAndOneFoundBehindIsLeftAlone() {
+        Scene scene = scene(HostChecks.REFUSE);
+        Rpc first = scene.arrive(Scene.SESSION, 100);
+        String replica = Scene.path(first);
+        assertThat(replica).isIn("b", "c");
+        scene.end(first, Outcome.MISS, Role.REPLICA, -1);
+        String other = replica.equals("b") ? "c" : "b";
+        scene.end(first, Outcome.MISS, Role.REPLICA, -1).pass(20);
+        assertThat(Scene.path(first)).isEqualTo(replica + "," + other + ",a");
+        Rpc second = scene.arrive(Scene.SESSION, 50);
+        scene.pass(30);
+        assertThat(Scene.path(second)).isEqualTo("a");
+    }
+
+    @ParameterizedTest(name = "{0} after {1}: sent again {2}, then {3}")
+    @CsvSource({
+        "NON_IDEMPOTENT, ERROR, false, abort", "NON_IDEMPOTENT, BROKEN, false, abort",
+        "NON_IDEMPOTENT, EXPIRED, false, abort", "NON_IDEMPOTENT, CANCELLED, false, abort",
+        "NON_IDEMPOTENT, FULL, true, push back", "NON_IDEMPOTENT, UNSENT, true, push back",
+        "TOKENED, BROKEN, true, abort", "TOKENED, FULL, true, push back", "IDEMPOTENT, ERROR, true, push back"})
+    void onlyWhatCannotTakeEffectTwiceGoesAgainOrIsPushedBack(Effect effect, Outcome outcome, boolean again,
+            String end) {
+        Scene scene = new Scene(HostChecks.NONE, false, effect, 2).list(true, "a:primary", "b", "c");
+        Rpc rpc = scene.arrive(Scene.WRITE);
+        scene.end(rpc, outcome, Role.UNTOLD, -1).pass(50);
+        assertThat(rpc.callOuts.size() > 1).isEqualTo(again);
+        while (rpc.stage == Stage.OUT) {
+            scene.list(true, "a:draining", "b:draining", "c:draining").end(rpc, outcome, Role.UNTOLD, -1);
+        }
+        scene.pass(2_000);
+        assertThat(scene.asked.stream().filter(action -> action.startsWith("abort") || action.startsWith("push back")))
+                .containsExactly(end + " " + rpc.id);
+    }
+
+    @Test
+    void aTokenedRpcThatMayHaveRunIsNotSentAgainAfterItsWindow() {
+        Scene scene = new Scene(HostChecks.NONE, false, Effect.TOKENED, 2).list(true, "a:primary", "b");
+        Rpc rpc = scene.arrive(Scene.WRITE);
+        scene.pass(1_000).end(rpc, Outcome.BROKEN, Role.UNTOLD, -1).pass(900);
+        assertThat(rpc.callOuts).hasSize(1);
+        assertThat(scene.asked).endsWith("abort " + rpc.id);
+    }
+
+    @ParameterizedTest
+    @CsvSource({"b:draining", "b:gone"})
+    void nothingNewGoesToAHostThatDrainsOrIsGone(String entry) {
+        Scene scene = scene(HostChecks.NONE).list(false, entry);
+        for (int i = 0; i < 8; i++) {
+            scene.arrive(Scene.ANY);
+        }
+        assertThat(scene.asked).anyMatch(action -> action.endsWith(" c")).noneMatch(action -> action.endsWith(" b"));
+    }
+
+    @Test
+    void aHostMissingFromACompleteListIsGone() {
+        Scene scene = scene(HostChecks.NONE).list(true, "a:primary", "c");
+        scene.arrive(Scene.ANY);
+        scene.arrive(Scene.ANY);
+        assertThat(scene.asked).noneMatch(action -> action.endsWith(" b"));
+    }
+
+    @ParameterizedTest(name = "{0} routers: at most {1} sends to a cold host in any second")
+    @CsvSource({"2, 3", "10, 1", "30, 1"})
+    void aColdHostIsSentOurPartOfItsBudgetInAnyWindow(int routers, int most) {
+        Scene scene = new Scene(HostChecks.NONE, true, Effect.TOKENED, routers).list(true, "a:cold");
+        List<Long> sends = new ArrayList<>();
+        for (int i = 0; i < 400; i++) {
+            Rpc rpc = scene.arrive(Scene.ANY);
+            scene.pass(5);
+            if (rpc.stage == Stage.OUT) {
+                sends.add(i * 5L);
+                scene.end(rpc, Outcome.OK, Role.REPLICA, 0);
+            }
+        }
+        for (long from : sends) {
+            assertThat(sends.stream().filter(at -> at >= from && at < from + 1_000).count()).isLessThanOrEqualTo(most);
+        }
+        assertThat(sends.size()).isLessThanOrEqualTo(2 * most);
+    }
+
+    /** Hung, gone silent or cut off: told by waiting alone. */
+    @ParameterizedTest
+    @CsvSource({"NONE, 2", "REFUSE, 1"})
+    void aSilentHostIsLeftAndItsIdempotentWorkRescued(HostChecks checks, int copies) {
+        Scene scene = scene(checks);
+        Rpc stuck = scene.arrive(Scene.ANY);
+        String silent = Scene.path(stuck);
+        scene.pass(1_300);
+        assertThat(scene.host(silent).suspect).isTrue();
+        assertThat(stuck.callOuts.size()).isEqualTo(copies);
+        if (checks == HostChecks.REFUSE) {
+            assertThat(scene.asked).contains("cancel " + stuck.id);
+        }
+        for (int i = 0; i < 5; i++) {
+            scene.end(scene.arrive(Scene.ANY), Outcome.OK, Role.REPLICA, 0);
+        }
+        assertThat(scene.asked.stream().filter(action -> action.endsWith(" " + silent) && action.startsWith("send")))
+                .hasSize(1);
+    }
+
+    @Test
+    void writesAreHeldFromASilentPrimaryUntilAnotherIsHeardOf() {
+        Scene scene = scene(HostChecks.NONE);
+        Rpc lost = scene.arrive(Scene.WRITE);
+        scene.pass(1_300);
+        Rpc held = scene.arrive(Scene.WRITE);
+        scene.pass(300);
+        assertThat(held.stage).isEqualTo(Stage.HELD);
+        scene.end(scene.arrive(Scene.ANY), Outcome.OK, Role.PRIMARY, 0).pass(20);
+        assertThat(held.callOuts).hasSize(1);
+        assertThat(Scene.path(held)).isNotEqualTo(Scene.path(lost));
+    }
+
+    /** A hung host with a full queue still turns work away, which is no sign of health. */
+    @ParameterizedTest
+    @CsvSource({"FULL, true", "OK, false"})
+    void onlyUsefulAnswersClearSuspicion(Outcome outcome, boolean suspect) {
+        Scene scene = scene(HostChecks.NONE);
+        Rpc stuck = scene.arrive(Scene.ANY);
+        String silent = Scene.path(stuck);
+        scene.pass(1_300);
+        scene.logic.ended(scene.now(), stuck.callOuts.get(0), outcome, false, Role.REPLICA, scene.now(),
+                scene.now().since(stuck.callOuts.get(0).sent));
+        assertThat(scene.host(silent).suspect).isEqualTo(suspect);
+    }
+
+    /** A host that answers badly but fast must not look idle. */
+    @ParameterizedTest
+    @CsvSource({"FULL", "ERROR"})
+    void aHostThatTurnsWorkAwayRests(Outcome outcome) {
+        Scene scene = scene(HostChecks.NONE);
+        int bad = 0;
+        for (int i = 0; i < 100; i++) {
+            Rpc rpc = scene.arrive(Scene.ANY);
+            boolean atB = Scene.path(rpc).equals("b");
+            bad += atB ? 1 : 0;
+            scene.end(rpc, atB ? outcome : Outcome.OK, Role.REPLICA, 0).pass(10);
+        }
+        assertThat(bad).isBetween(1, 10);
+    }
+
+    @ParameterizedTest(name = "list names b after an answer of b as {0}: primary {1}")
+    @CsvSource({"REPLICA, ", "PRIMARY, b"})
+    void aLateListDoesNotOverruleAFresherAnswer(Role role, String primary) {
+        Scene scene = scene(HostChecks.REFUSE).list(false, "c:gone");
+        scene.end(scene.arrive(Scene.ANY), Outcome.OK, role, 0);
+        scene.end(scene.arrive(Scene.WRITE), Outcome.MISS, role == Role.PRIMARY ? Role.PRIMARY : Role.REPLICA, 0);
+        scene.list(false, "b:primary");
+        assertThat(scene.logic.group(1).primary).isEqualTo(primary == null ? null : scene.host(primary));
+    }
+
+    @Test
+    void withNoKnownPrimaryAWriteTriesMembersInIdOrderThenWaitsForNews() {
+        Scene scene = new Scene(HostChecks.REFUSE, false, Effect.NON_IDEMPOTENT, 2).list(true, "c", "a", "b");
+        Rpc rpc = scene.arrive(Scene.WRITE);
+        for (int i = 0; i < 3; i++) {
+            scene.end(rpc, Outcome.MISS, Role.REPLICA, -1);
+        }
+        assertThat(Scene.path(rpc)).isEqualTo("a,b,c");
+        assertThat(rpc.stage).isEqualTo(Stage.HELD);
+        scene.end(scene.arrive(Scene.ANY), Outcome.OK, Role.PRIMARY, 0);
+        assertThat(rpc.callOuts).hasSize(4);
+    }
+
+    @Test
+    void aSlowFleetIsSentLessAndTheRestAnsweredBeforeItIsUseless() {
+        Scene scene = scene(HostChecks.NONE);
+        List<Rpc> rpcs = new ArrayList<>();
+        for (int i = 0; i < 200; i++) {
+            rpcs.add(scene.arrive(Scene.ANY));
+            scene.pass(10);
+            for (Rpc rpc : rpcs) {
+                if (rpc.out == 1 && scene.now().since(rpc.callOuts.get(0).sent).us() > 450_000) {
+                    scene.end(rpc, Outcome.OK, Role.REPLICA, 0);
+                }
+            }
+        }
+        assertThat(rpcs.stream().filter(rpc -> rpc.out > 0).count()).isLessThan(12);
+        assertThat(scene.asked).anyMatch(action -> action.startsWith("push back"));
+    }
+
+    @Test
+    void everyHeldRpcIsAnsweredOnceBeforeItsDeadline() {
+        Scene scene = new Scene(HostChecks.NONE, true, Effect.NON_IDEMPOTENT, 2).list(true, "a:gone");
+        List<Rpc> rpcs = new ArrayList<>();
+        for (int method = Scene.WRITE; method <= Scene.ANY; method++) {
+            rpcs.add(scene.arrive(method));
+        }
+        scene.pass(1_999);
+        assertThat(scene.asked.stream().filter(action -> action.startsWith("push back"))).hasSize(rpcs.size());
+        assertThat(rpcs).allMatch(rpc -> rpc.stage == Stage.OVER);
+    }
+}
--- /dev/null
+++ b/src/test/java/ironwind/Scene.java
@@ -0,0 +1,143 @@
+package ironwind;
+
+import ironwind.model.CallOut;
+import ironwind.model.Customer;
+import ironwind.model.Deployment;
+import ironwind.model.Deployment.HostChecks;
+import ironwind.model.Effect;
+import ironwind.model.Freshness;
+import ironwind.model.Host;
+import ironwind.model.Host.Listing;
+import ironwind.model.Method;
+import ironwind.model.Moment;
+import ironwind.model.Outbound;
+import ironwind.model.Outcome;
+import ironwind.model.Role;
+import ironwind.model.RosterEntry;
+import ironwind.model.Rpc;
+import ironwind.model.Span;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.TreeMap;
+
+/** One router on a made-up deployment: brings events by the millisecond and notes what the module asks for. */
+final class Scene implements Outbound {
+    static final int WRITE = 0;
+    static final int FRESH = 1;
+    static final int SESSION = 2;
+    static final int BOUNDED = 3;
+    static final int ANY = 4;
+
+    final List<String> asked = new ArrayList<>();
+    final Logic logic;
+    private final Deployment deployment;
+    private final TreeMap<Long, Boolean> wakes = new TreeMap<>();
+    private long ms = 1_000_000;
+    private int count;
+
+    Scene(HostChecks checks, boolean parallel, Effect writes, int routers) {
+        List<Method> methods = new ArrayList<>();
+        for (Freshness freshness : Freshness.values()) {
+            Effect effect = freshness == Freshness.WRITE ? writes : Effect.IDEMPOTENT;
+            methods.add(new Method(methods.size(), effect, freshness, Span.ofMillis(300), Span.ofMillis(500),
+                    Span.ofMillis(2_000), 2, freshness == Freshness.WRITE ? 1 : 0, false, Span.ofMillis(1_000)));
+        }
+        deployment = new Deployment(methods, List.of(new Customer(0, 0)), routers, 0, Span.ofMillis(5), checks, true,
+                checks == HostChecks.REFUSE, checks == HostChecks.NONE, false, true, parallel, 6, true,
+                Span.ofMillis(1_000), 0.01, 0.1, new Moment(0), Span.ofMillis(500), false, Span.ofMillis(20), 0.2,
+                Span.ofMillis(10_000), 2, Span.ofMillis(1_000));
+        logic = new Logic(deployment, 7, this);
+    }
+
+    /** Entries are words such as {@code a}, {@code a:primary}, {@code a:draining}, {@code a:gone}, {@code a:cold}. */
+    Scene list(boolean complete, String... entries) {
+        List<RosterEntry> list = new ArrayList<>();
+        for (String entry : entries) {
+            String[] words = (entry + ":ready").split(":");
+            Listing listing = words[1].equals("draining") ? Listing.DRAINING
+                    : words[1].equals("gone") ? Listing.GONE : Listing.READY;
+            list.add(new RosterEntry(words[0], 0, 0, 1, listing, 1, words[1].equals("cold") ? now() : Moment.NEVER,
+                    words[1].equals("primary")));
+        }
+        logic.listed(now(), complete, list);
+        logic.settle(now());
+        return this;
+    }
+
+    Moment now() {
+        return new Moment(ms * 1_000);
+    }
+
+    /** Moves on, waking the module whenever it asked for it. */
+    Scene pass(long span) {
+        for (long until = ms + span; ms < until;) {
+            ms++;
+            if (!wakes.isEmpty() && wakes.firstKey() <= ms * 1_000) {
+                wakes.pollFirstEntry();
+                logic.settle(now());
+            }
+        }
+        return this;
+    }
+
+    Rpc arrive(int method) {
+        return arrive(method, 0);
+    }
+
+    Rpc arrive(int method, long tokenAge) {
+        Moment token = tokenAge == 0 ? Moment.NEVER : now().minus(Span.ofMillis(tokenAge));
+        Rpc rpc = new Rpc("r" + count++, deployment.methods().get(method), deployment.customers().get(0),
+                logic.group(1), "s", now(), now().plus(Span.ofMillis(2_000)), token, false);
+        logic.arrived(now(), rpc);
+        logic.settle(now());
+        return rpc;
+    }
+
+    /** Ends the RPC's newest call-out; a negative age tells no position. */
+    Scene end(Rpc rpc, Outcome outcome, Role role, long positionAge) {
+        CallOut callOut = rpc.callOuts.get(rpc.callOuts.size() - 1);
+        Moment position = positionAge < 0 ? Moment.NEVER : now().minus(Span.ofMillis(positionAge));
+        logic.ended(now(), callOut, outcome, outcome == Outcome.OK, role, position, now().since(callOut.sent));
+        logic.settle(now());
+        return this;
+    }
+
+    Host host(String id) {
+        return logic.host(id);
+    }
+
+    /** Where the RPC's call-outs went, in order. */
+    static String path(Rpc rpc) {
+        return String.join(",", rpc.callOuts.stream().map(callOut -> callOut.host.id).toList());
+    }
+
+    @Override
+    public void send(CallOut callOut, Span limit) {
+        asked.add("send " + callOut.rpc.id + " " + callOut.host.id);
+    }
+
+    @Override
+    public void cancel(CallOut callOut) {
+        asked.add("cancel " + callOut.rpc.id);
+    }
+
+    @Override
+    public void pushBack(Rpc rpc, Span comeBackAfter) {
+        asked.add("push back " + rpc.id);
+    }
+
+    @Override
+    public void abort(Rpc rpc) {
+        asked.add("abort " + rpc.id);
+    }
+
+    @Override
+    public void probe(Host host) {
+        asked.add("probe " + host.id);
+    }
+
+    @Override
+    public void wakeAt(Moment when) {
+        wakes.put(when.us(), true);
+    }
+}
