--- a/src/main/java/ironwind/Logic.java
+++ b/src/main/java/ironwind/Logic.java
@@ -75,6 +75,8 @@
     private static final double FIRST_LIMIT = 8;
     private static final double MOST_LIMIT = 256;
     private static final double LEAST_LIMIT = 1;
+    /** A pool never shrinks below so many call-outs a host, of all routers together. */
+    private static final double LEAST_A_HOST = 2.5;
     private static final double STRAINED = 0.5;
     private static final double EASY = 0.38;
     private static final double LIMIT_CUT = 0.85;
@@ -365,18 +367,18 @@
     }
 
     private void strained(CallOut callOut, double ratio) {
-        pace(callOut.host.room, ratio, HOST_SMOOTHING, callOut.host.out.size());
-        pace(callOut.pool, ratio, SMOOTHING, callOut.pool.out);
+        pace(callOut.host.room, ratio, HOST_SMOOTHING, callOut.host.out.size(), LEAST_LIMIT);
+        pace(callOut.pool, ratio, SMOOTHING, callOut.pool.out, leastOf(callOut.pool));
     }
 
     /** How many of ours may be out, by how answer times compare with soft deadlines. */
-    private void pace(Room room, double ratio, double smoothing, int out) {
+    private void pace(Room room, double ratio, double smoothing, int out, double least) {
         room.strain += smoothing * (ratio - room.strain);
         if (now.since(room.moved).shorterThan(LIMIT_REST)) {
             return;
         }
         if (room.strain > STRAINED) {
-            room.limit = Math.max(LEAST_LIMIT, Math.min(room.limit, out + 1) * LIMIT_CUT);
+            room.limit = Math.max(least, Math.min(room.limit, out + 1) * LIMIT_CUT);
             room.moved = now;
         } else if (room.strain < EASY && out + 1 >= room.limit) {
             double ease = 1 - room.strain / EASY;
@@ -385,6 +387,13 @@
         }
     }
 
+    /** Our part of the few call-outs a host that any host can work on without delay. */
+    private double leastOf(Room pool) {
+        long count = hosts.values().stream()
+                .filter(host -> takesWork(host) && !host.suspect && poolOf(host) == pool).count();
+        return Math.max(LEAST_LIMIT, LEAST_A_HOST * count / deployment.routers());
+    }
+
     private boolean roomAt(Host host) {
         Room pool = poolOf(host);
         return host.out.size() < host.room.limit && pool.out < pool.limit;
