--- a/src/main/java/ironwind/Logic.java
+++ b/src/main/java/ironwind/Logic.java
@@ -76,7 +76,7 @@
     private static final double MOST_LIMIT = 256;
     private static final double LEAST_LIMIT = 1;
     /** A pool never shrinks below so many call-outs a host, of all routers together. */
-    private static final double LEAST_A_HOST = 2.5;
+    private static final double LEAST_A_HOST = 4;
     private static final double STRAINED = 0.5;
     private static final double EASY = 0.38;
     private static final double LIMIT_CUT = 0.85;
