--- a/src/main/java/ironwind/Logic.java
+++ b/src/main/java/ironwind/Logic.java
@@ -90,7 +90,7 @@
     /** How long the oldest held RPC waits, in soft deadlines, before over-share traffic is shed. */
     private static final double SHED_OVER_SHARE = 0.15;
     /** An RPC is given up when less than so many mean answer times are left of its use. */
-    private static final double LEAST_USE = 0.5;
+    private static final double LEAST_USE = 1;
     /** Cold budgets: the part of the allowance used, and the sends of all routers always allowed in a window. */
     private static final double COLD_MARGIN = 0.6;
     private static final double COLD_FLOOR = 3;
