Among equals the newest held RPC goes first

Cause: in overload the oldest went first, so every RPC was served just after its soft deadline (late 15-22%). Harm: in a short jam a few wait longer than need be.

--- a/src/main/java/ironwind/Logic.java
+++ b/src/main/java/ironwind/Logic.java
@@ -901,7 +901,8 @@
         List<Rpc> round = new ArrayList<>(held);
         held.clear();
         if (round.size() > 1) {
-            round.sort(Comparator.comparingDouble((Rpc rpc) -> -worthNow(rpc) / meanUs[rpc.method.index()]));
+            round.sort(Comparator.comparingDouble((Rpc rpc) -> -worthNow(rpc) / meanUs[rpc.method.index()])
+                    .thenComparing(Comparator.comparing((Rpc rpc) -> rpc.arrived).reversed()));
         }
         for (Rpc rpc : round) {
             step(rpc, Input.LOOK);
