--- a/src/main/java/ironwind/Logic.java
+++ b/src/main/java/ironwind/Logic.java
@@ -529,7 +529,7 @@
         if (rpc.customer != null && rpc.customer.quotaPerSecond() > 0) {
             int index = rpc.customer.index();
             rpc.overShare = bucket[index] < 1;
-            bucket[index] -= rpc.overShare ? 0 : 1;
+            bucket[index] -= rpc.overShare || rpc.repeat ? 0 : 1;
         }
         copyTokens = Math.min(COPY_BURST, copyTokens + COPY_SHARE);
         double probeShare = deployment.probePrice() <= 0 ? MOST_PROBE_SHARE
