--- a/src/main/java/ironwind/Logic.java
+++ b/src/main/java/ironwind/Logic.java
@@ -292,7 +292,7 @@
         callOut.ended = true;
         callOut.provenUnrun = outcome.provesUnrun;
         host.out.remove(callOut);
-        callOut.pool.out--;
+        callOut.pool.out -= callOut.stranded ? 0 : 1;
         rpc.out--;
         if (!callOut.provenUnrun && rpc.firstMayHaveRun == null) {
             rpc.firstMayHaveRun = callOut.sent;
@@ -454,6 +454,9 @@
         host.nextTrial = now.plus(TRIAL_EVERY.times(1 << Math.min(TRIAL_DOUBLINGS, host.trialsFailed)));
         stirred = true;
         for (CallOut callOut : new ArrayList<>(host.out)) {
+            // What is stuck at a silent host takes no room away from the others.
+            callOut.pool.out -= callOut.stranded ? 0 : 1;
+            callOut.stranded = true;
             rescue(callOut);
         }
     }
--- a/src/main/java/ironwind/model/CallOut.java
+++ b/src/main/java/ironwind/model/CallOut.java
@@ -12,6 +12,8 @@
     public boolean provenUnrun;
     public boolean cancelled;
     public boolean overdue;
+    /** Out at a host that went silent: no longer counted in its pool. */
+    public boolean stranded;
 
     public CallOut(Rpc rpc, Host host, Room pool, int number, Moment sent) {
         this.rpc = rpc;
