--- a/src/main/java/ironwind/Logic.java
+++ b/src/main/java/ironwind/Logic.java
@@ -89,8 +89,13 @@
     private static final double HOST_SMOOTHING = 0.16;
     /** How long the oldest held RPC waits, in soft deadlines, before over-share traffic is shed. */
     private static final double SHED_OVER_SHARE = 0.15;
-    /** An RPC is given up when less than so many mean answer times are left of its use. */
-    private static final double LEAST_USE = 1;
+    /**
+     * An RPC is given up when less than a mean answer time is left of its use, but never before this part of the soft
+     * deadline: a method that is served only by slow hosts would otherwise be given up unsent, and never be timed again.
+     */
+    private static final double LEAST_USE = 0.5;
+    /** An RPC of which less is left when late is not held past its soft deadline: failing late costs more. */
+    private static final double LATE_HOLD = 0.4;
     /** Cold budgets: the part of the allowance used, and the sends of all routers always allowed in a window. */
     private static final double COLD_MARGIN = 0.6;
     private static final double COLD_FLOOR = 3;
@@ -600,8 +605,9 @@
         }
         Method method = rpc.method;
         Moment lastCall = rpc.deadline.minus(deployment.tick().times(2));
-        Moment lastUse = rpc.arrived.plus(method.softDeadline()).minus(mean(method).times(LEAST_USE));
-        boolean useless = method.lateUtility() <= 0 && !now.before(lastUse);
+        Span toSpare = new Span(Math.min(mean(method).us(), method.softDeadline().times(LEAST_USE).us()));
+        Moment lastUse = rpc.arrived.plus(method.softDeadline()).minus(toSpare);
+        boolean useless = method.lateUtility() < LATE_HOLD * method.utility() && !now.before(lastUse);
         boolean shed = rpc.overShare && now.since(rpc.arrived).over(method.softDeadline()) > SHED_OVER_SHARE;
         if (!now.before(lastCall) || useless || shed && mayPushBack(rpc)) {
             step(rpc, Input.HOPELESS);
@@ -904,7 +910,7 @@
         List<Rpc> round = new ArrayList<>(held);
         held.clear();
         if (round.size() > 1) {
-            round.sort(Comparator.comparingDouble((Rpc rpc) -> -worthNow(rpc) / meanUs[rpc.method.index()])
+            round.sort(Comparator.comparingDouble((Rpc rpc) -> -worthNow(rpc))
                     .thenComparing(Comparator.comparing((Rpc rpc) -> rpc.arrived).reversed()));
         }
         for (Rpc rpc : round) {
