--- a/src/main/java/ironwind/Logic.java
+++ b/src/main/java/ironwind/Logic.java
@@ -77,8 +77,8 @@
     private static final double LEAST_LIMIT = 1;
     /** A pool never shrinks below so many call-outs a host, of all routers together. */
     private static final double LEAST_A_HOST = 4;
-    private static final double STRAINED = 0.5;
-    private static final double EASY = 0.38;
+    private static final double STRAINED = 0.42;
+    private static final double EASY = 0.32;
     private static final double LIMIT_CUT = 0.85;
     private static final double LIMIT_STEP = 0.5;
     private static final double LIMIT_GROWTH = 0.08;
