--- a/src/main/java/ironwind/Logic.java
+++ b/src/main/java/ironwind/Logic.java
@@ -99,7 +99,7 @@
     /** An RPC of which less is left when late is not held past its soft deadline: failing late costs more. */
     private static final double LATE_HOLD = 0.4;
     /** Cold budgets: the part of the allowance used, and all routers' sends always allowed in a window. */
-    private static final double COLD_MARGIN = 0.6;
+    private static final double COLD_MARGIN = 0.85;
     private static final double COLD_FLOOR = 3;
     private static final Span RATE_OVER = Span.ofMillis(8_000);
     private static final Span WRITE_BACKOFF = Span.ofMillis(200);
