Remove dead state and fold twin code after a re-read; same actions

Never read: a host's zone, wasPrimary and positionHeard, a call-out's provenUnrun, the router's zone. Folded: the start of a cold spell, the wait for the next trial, the check for a ready listing. Two comments that said it wrong are mended.

--- a/src/main/java/ironwind/Logic.java
+++ b/src/main/java/ironwind/Logic.java
@@ -88,7 +88,7 @@
     private static final double READS_OF_PRIMARY = 0.6;
     private static final double SMOOTHING = 0.08;
     private static final double HOST_SMOOTHING = 0.16;
-    /** How long the oldest held RPC waits, in soft deadlines, before over-share traffic is shed. */
+    /** How long an over-share RPC is held, in soft deadlines, before it is shed. */
     private static final double SHED_OVER_SHARE = 0.15;
     /**
      * An RPC is given up when less than a mean answer time is left of its use, but never before this part of
@@ -186,7 +186,6 @@
                 host.group.members.add(host);
                 host.group.members.sort(Comparator.comparing(h -> h.id));
             }
-            host.zone = entry.zone();
             host.kind = entry.kind();
             host.size = entry.size() > 0 ? entry.size() : 1;
             relist(host, entry.listing());
@@ -211,14 +210,18 @@
     }
 
     private void restarted(Host host, Moment startedAt) {
-        host.startedAt = startedAt;
-        host.coldPhase = random.nextDouble();
-        host.room.limit = FIRST_LIMIT / 2;
+        startCold(host, startedAt);
         if (host.suspect && startedAt.after(host.suspectSince)) {
             trust(host);
         }
     }
 
+    private void startCold(Host host, Moment startedAt) {
+        host.startedAt = startedAt;
+        host.coldPhase = random.nextDouble();
+        host.room.limit = FIRST_LIMIT / 2;
+    }
+
     /** A late list must not overrule an answer: only a change counts, and only with nothing better known. */
     private void listedRole(Host host, boolean primary) {
         boolean changed = primary && !host.listedPrimary;
@@ -240,7 +243,6 @@
         }
         group.primary = host;
         group.primaryTold = spoken;
-        host.wasPrimary = true;
         host.toldReplica = false;
     }
 
@@ -274,7 +276,6 @@
         }
         if (position.after(Moment.NEVER)) {
             heardPosition(host, position);
-            host.positionHeard = now;
             host.reportHeard = now;
             host.lateness = now.since(position);
             host.group.leastLateness = host.group.members.stream()
@@ -294,11 +295,10 @@
         Rpc rpc = callOut.rpc;
         Host host = callOut.host;
         callOut.ended = true;
-        callOut.provenUnrun = outcome.provesUnrun;
         host.out.remove(callOut);
         callOut.pool.out -= callOut.stranded ? 0 : 1;
         rpc.out--;
-        if (!callOut.provenUnrun && rpc.firstMayHaveRun == null) {
+        if (!outcome.provesUnrun && rpc.firstMayHaveRun == null) {
             rpc.firstMayHaveRun = callOut.sent;
         }
         if (outcome.answered) {
@@ -332,7 +332,6 @@
         if (position.after(Moment.NEVER)) {
             // A commit is told rounded up, so the log is known applied only to just before it.
             heardPosition(host, committed ? position.minus(COMMIT_ROUNDING) : position);
-            host.positionHeard = now;
             if (committed && deployment.sessionsRemembered() && rpc.session != null) {
                 commits.put(rpc.session, new Commit(host.group, position));
             }
@@ -456,7 +455,7 @@
         } else {
             host.trialsFailed++;
         }
-        host.nextTrial = now.plus(TRIAL_EVERY.times(1 << Math.min(TRIAL_DOUBLINGS, host.trialsFailed)));
+        putOffTrial(host);
         stirred = true;
         for (CallOut callOut : new ArrayList<>(host.out)) {
             // What is stuck at a silent host takes no room away from the others.
@@ -466,12 +465,14 @@
         }
     }
 
+    private void putOffTrial(Host host) {
+        host.nextTrial = now.plus(TRIAL_EVERY.times(1 << Math.min(TRIAL_DOUBLINGS, host.trialsFailed)));
+    }
+
     private void trust(Host host) {
         if (host.probeFailedWhileSuspect) {
             // It was gone, not just slow: it may be cold, though the list does not say so yet.
-            host.startedAt = host.startedAt.later(now);
-            host.coldPhase = random.nextDouble();
-            host.room.limit = FIRST_LIMIT / 2;
+            startCold(host, host.startedAt.later(now));
         }
         host.suspect = false;
         host.trialsFailed = 0;
@@ -791,7 +792,7 @@
 
     /** Rule 3. */
     private boolean drainLets(Host host) {
-        return host.listing == Host.Listing.READY || deployment.onlyDrainingBinds() && !host.seenDraining;
+        return takesWork(host) || deployment.onlyDrainingBinds() && !host.seenDraining;
     }
 
     /** Rule 5. A host held for the primary is excused until its own answer says otherwise. */
@@ -858,7 +859,8 @@
         rpc.out++;
         host.out.add(callOut);
         if (host.suspect) {
-            host.nextTrial = now.plus(TRIAL_EVERY.times(1 << Math.min(TRIAL_DOUBLINGS, ++host.trialsFailed)));
+            host.trialsFailed++;
+            putOffTrial(host);
         }
         noteSend(host);
         boolean calledOff = deployment.cancelAllowed() || deployment.parallelCallOuts()
@@ -987,7 +989,7 @@
                 }
             }
         }
-        if (oldest != null && deployment.probesTellPosition() && probeTokens >= 1 && !oldest.probeOut
+        if (oldest != null && deployment.probesTellPosition() && probeTokens >= 1
                 && now.since(oldest.position).longerThan(halfBound)) {
             probeTokens--;
             probe(oldest);
--- a/src/main/java/ironwind/adapter/Adapter.java
+++ b/src/main/java/ironwind/adapter/Adapter.java
@@ -9,6 +9,7 @@
 import java.io.OutputStream;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -74,8 +75,7 @@
             case "DEFINE_LIST" -> define(line);
             case "SPAWN" -> {
                 int number = line.needSmall("router");
-                RouterDoor old = doors.remove(number);
-                touched.remove(old);
+                touched.remove(doors.remove(number));
                 doors.put(number, new RouterDoor(number, line.needWhole("entropy"), SetupReader.read(line), reply));
                 touch(line);
             }
@@ -137,7 +137,7 @@
             default -> throw item.fault("health", "has an unknown value: " + health);
         };
         long since = item.whole("online_since_us", 0);
-        return new RosterEntry(item.need("host"), item.small("zone", 0), item.small("type", 0),
+        return new RosterEntry(item.need("host"), item.small("type", 0),
                 item.small("shard", 0), listing, item.number("power_hint", 1),
                 since == 0 ? Moment.NEVER : new Moment(since), item.number("leads", 0) >= 1);
     }
@@ -152,7 +152,7 @@
             }
             while (read >= 0 && read != '\n') {
                 if (length == buffer.length) {
-                    buffer = java.util.Arrays.copyOf(buffer, 2 * length);
+                    buffer = Arrays.copyOf(buffer, 2 * length);
                 }
                 buffer[length++] = (byte) read;
                 read = in.read();
--- a/src/main/java/ironwind/adapter/RouterDoor.java
+++ b/src/main/java/ironwind/adapter/RouterDoor.java
@@ -65,7 +65,7 @@
         int count = deployment.customers().size();
         Customer customer = count == 0 ? null : deployment.customers().get(index(line, "account", count));
         double tokenAge = line.number("token_age_ms", 0);
-        // Rounded up to the microsecond, so that the position asked for is never too late in the log.
+        // The age is rounded down, so that the position asked for is never too low.
         Moment token = tokenAge <= 0 ? Moment.NEVER : now.minus(new Span((long) Math.floor(tokenAge * 1_000)));
         Moment deadline = new Moment(line.whole("not_after_us", now.plus(method.deadline()).us()));
         guard(() -> {
--- a/src/main/java/ironwind/adapter/SetupReader.java
+++ b/src/main/java/ironwind/adapter/SetupReader.java
@@ -53,7 +53,6 @@
         String checks = line.text("extra.when_behind");
         return new Deployment(methods, customers,
                 Math.max(1, line.small("peers_total", 1)),
-                line.small("zone", 0),
                 new Span(line.whole("period_us", 0)),
                 checks == null ? HostChecks.NONE : pick(line, "extra.when_behind", CHECKS, checks),
                 line.flag("caps.may_probe"),
--- a/src/main/java/ironwind/model/CallOut.java
+++ b/src/main/java/ironwind/model/CallOut.java
@@ -9,7 +9,6 @@
     public final int number;
     public final Moment sent;
     public boolean ended;
-    public boolean provenUnrun;
     public boolean cancelled;
     public boolean overdue;
     /** Out at a host that went silent: no longer counted in its pool. */
--- a/src/main/java/ironwind/model/Deployment.java
+++ b/src/main/java/ironwind/model/Deployment.java
@@ -7,7 +7,6 @@
         List<Method> methods,
         List<Customer> customers,
         int routers,
-        int zone,
         Span tick,
         HostChecks hostChecks,
         boolean probesAllowed,
--- a/src/main/java/ironwind/model/Host.java
+++ b/src/main/java/ironwind/model/Host.java
@@ -7,7 +7,6 @@
 public final class Host {
     public final String id;
     public Group group;
-    public int zone;
     public int kind;
     public double size = 1;
 
@@ -18,10 +17,8 @@
     public Moment startedAt = Moment.NEVER;
 
     /** Role and log position. */
-    public boolean wasPrimary;
     public boolean toldReplica;
     public Moment position = Moment.NEVER;
-    public Moment positionHeard = Moment.NEVER;
     public Moment reportHeard = Moment.NEVER;
     /** How old the reported position was when it was heard. */
     public Span lateness = Span.ZERO;
--- a/src/test/java/ironwind/Scene.java
+++ b/src/test/java/ironwind/Scene.java
@@ -42,7 +42,7 @@
             methods.add(new Method(methods.size(), effect, freshness, Span.ofMillis(300), Span.ofMillis(500),
                     Span.ofMillis(2_000), 2, freshness == Freshness.WRITE ? 1 : 0, false, Span.ofMillis(1_000)));
         }
-        deployment = new Deployment(methods, List.of(new Customer(0, 0)), routers, 0, Span.ofMillis(5), checks, true,
+        deployment = new Deployment(methods, List.of(new Customer(0, 0)), routers, Span.ofMillis(5), checks, true,
                 checks == HostChecks.REFUSE, checks == HostChecks.NONE, false, true, parallel, 6, true,
                 Span.ofMillis(1_000), 0.01, 0.1, new Moment(0), false, 0.2,
                 Span.ofMillis(10_000), 2, Span.ofMillis(1_000));
@@ -56,7 +56,7 @@
             String[] words = (entry + ":ready").split(":");
             Listing listing = words[1].equals("draining") ? Listing.DRAINING
                     : words[1].equals("gone") ? Listing.GONE : Listing.READY;
-            list.add(new RosterEntry(words[0], 0, 0, 1, listing, 1, words[1].equals("cold") ? now() : Moment.NEVER,
+            list.add(new RosterEntry(words[0], 0, 1, listing, 1, words[1].equals("cold") ? now() : Moment.NEVER,
                     words[1].equals("primary")));
         }
         logic.listed(now(), complete, list);
