--- a/src/main/java/ironwind/Logic.java
+++ b/src/main/java/ironwind/Logic.java
@@ -825,11 +825,21 @@
                 && (rpc.out == 0 || deployment.parallelCallOuts() && rpc.out < 2
                         && rpc.method.effect() == Effect.IDEMPOTENT && !triedAt(rpc, host))
                 && repeatable(rpc)
-                && sendable(host)
-                && freshEnough(rpc, host)
+                && bound(rpc, host)
                 && coldLets(host);
     }
 
+    /** What the passing of time or news alone may undo between a send's gate and its last byte. */
+    private boolean bound(Rpc rpc, Host host) {
+        return sendable(host) && freshEnough(rpc, host);
+    }
+
+    @Override
+    public boolean stillPasses(Moment time, CallOut callOut) {
+        now = time;
+        return callOut.rpc.stage != Stage.OVER && bound(callOut.rpc, callOut.host);
+    }
+
     /** Rule 2, for sends. An RPC never leaves its group, which is the scope within which marks are known. */
     private boolean repeatable(Rpc rpc) {
         return rpc.firstMayHaveRun == null || switch (rpc.method.effect()) {
--- a/src/main/java/ironwind/adapter/Adapter.java
+++ b/src/main/java/ironwind/adapter/Adapter.java
@@ -3,6 +3,7 @@
 import ironwind.model.Host;
 import ironwind.model.Moment;
 import ironwind.model.RosterEntry;
+import ironwind.start.DeploymentReader;
 import java.io.BufferedInputStream;
 import java.io.IOException;
 import java.io.InputStream;
@@ -76,7 +77,7 @@
             case "SPAWN" -> {
                 int number = line.needSmall("router");
                 touched.remove(doors.remove(number));
-                doors.put(number, new RouterDoor(number, line.needWhole("entropy"), SetupReader.read(line), reply));
+                doors.put(number, new RouterDoor(number, line.needWhole("entropy"), DeploymentReader.read(line), reply));
                 touch(line);
             }
             case "DOWN" -> touched.remove(doors.remove(line.needSmall("router")));
--- a/src/main/java/ironwind/adapter/Line.java
+++ b/src/main/java/ironwind/adapter/Line.java
@@ -1,9 +1,10 @@
 package ironwind.adapter;
 
+import ironwind.start.NamedValues;
 import java.util.Base64;
 
 /** One line of the wire: a name and tab-parted name=value fields, looked up without regular expressions. */
-final class Line {
+final class Line implements NamedValues {
     private final String text;
     private final long number;
     private final String name;
@@ -19,8 +20,8 @@
         return name;
     }
 
-    /** The field's value, or null where it is absent. */
-    String text(String key) {
+    @Override
+    public String text(String key) {
         int from = name.length();
         int length = key.length();
         while (from >= 0 && from < text.length()) {
@@ -35,52 +36,6 @@
         return null;
     }
 
-    String need(String key) {
-        String value = text(key);
-        if (value == null || value.isEmpty()) {
-            throw fault(key, "is missing");
-        }
-        return value;
-    }
-
-    long whole(String key, long absent) {
-        String value = text(key);
-        return value == null ? absent : parseWhole(key, value);
-    }
-
-    long needWhole(String key) {
-        return parseWhole(key, need(key));
-    }
-
-    int small(String key, int absent) {
-        long value = whole(key, absent);
-        if (value < Integer.MIN_VALUE || value > Integer.MAX_VALUE) {
-            throw fault(key, "is out of range: " + value);
-        }
-        return (int) value;
-    }
-
-    int needSmall(String key) {
-        need(key);
-        return small(key, 0);
-    }
-
-    double number(String key, double absent) {
-        String value = text(key);
-        return value == null ? absent : parseNumber(key, value);
-    }
-
-    boolean flag(String key) {
-        String value = text(key);
-        if (value == null || value.equals("0") || value.equals("false")) {
-            return false;
-        }
-        if (value.equals("1") || value.equals("true")) {
-            return true;
-        }
-        throw fault(key, "is neither 1 nor 0: " + value);
-    }
-
     /** Checks bytes, whose content nothing here reads. */
     void checkBytes(String key) {
         String value = text(key);
@@ -115,27 +70,8 @@
         return Double.NaN;
     }
 
-    WireFault fault(String key, String what) {
+    @Override
+    public WireFault fault(String key, String what) {
         return new WireFault(number, name, key, what);
     }
-
-    long parseWhole(String key, String value) {
-        try {
-            return Long.parseLong(value);
-        } catch (NumberFormatException e) {
-            throw fault(key, "is not a whole number: " + value);
-        }
-    }
-
-    double parseNumber(String key, String value) {
-        try {
-            double number = Double.parseDouble(value);
-            if (Double.isFinite(number)) {
-                return number;
-            }
-        } catch (NumberFormatException e) {
-            // told below, with the field's name
-        }
-        throw fault(key, "is not a number: " + value);
-    }
 }
--- a/src/main/java/ironwind/cli/Main.java
+++ b/src/main/java/ironwind/cli/Main.java
@@ -1,6 +1,10 @@
 package ironwind.cli;
 
 import ironwind.adapter.Adapter;
+import ironwind.net.Log;
+import ironwind.net.Router;
+import ironwind.start.StartFacts;
+import ironwind.start.StartFault;
 import java.io.FileOutputStream;
 import java.io.FileDescriptor;
 import java.io.IOException;
@@ -8,6 +12,7 @@
 import java.io.OutputStream;
 import java.io.PrintStream;
 import java.nio.charset.StandardCharsets;
+import java.nio.file.Path;
 
 /** The command line: a subcommand, or {@code --help} or {@code --version}. */
 public final class Main {
@@ -16,12 +21,14 @@
 
             commands:
               adapter      play the simulator's wire on standard input and output
+              serve        be a real router, as the file that ROUTER_CONFIG names says
 
             options:
               --help       print this text
               --version    print the version
             """;
     private static final int USAGE_ERROR = 2;
+    private static final int START_ERROR = 1;
 
     private Main() {
     }
@@ -34,11 +41,34 @@
         }
     }
 
+    /** Serves until the process is asked to end; returns only where it could not start. */
+    private static int serve(String file, PrintStream errors) {
+        try {
+            if (file == null) {
+                throw new StartFault("ROUTER_CONFIG names no file");
+            }
+            Router router = new Router(StartFacts.read(Path.of(file)), new Log(errors));
+            router.start().await();
+            Runtime.getRuntime().addShutdownHook(new Thread(() -> {
+                router.drain().await();
+                router.stop().await();
+                Runtime.getRuntime().halt(0);
+            }));
+            Thread.currentThread().join();
+            return 0;
+        } catch (Exception e) {
+            errors.println("ironwind: " + (e instanceof StartFault ? e.getMessage() : e));
+            return START_ERROR;
+        }
+    }
+
     static int run(String[] args, InputStream in, OutputStream out, PrintStream errors) throws IOException {
         String word = args.length == 1 ? args[0] : "";
         switch (word) {
             case "adapter":
                 return new Adapter(in, out).run(errors);
+            case "serve":
+                return serve(System.getenv("ROUTER_CONFIG"), errors);
             case "--help":
                 out.write(USAGE.getBytes(StandardCharsets.UTF_8));
                 return 0;
--- a/src/main/java/ironwind/model/Inbound.java
+++ b/src/main/java/ironwind/model/Inbound.java
@@ -16,6 +16,9 @@
     /** A client's RPC has come. */
     void arrived(Moment now, Rpc rpc);
 
+    /** Whether a call-out whose connection took time to come up may still be written to it. */
+    boolean stillPasses(Moment now, CallOut callOut);
+
     /** A call-out has ended. {@code closed}: the RPC's final answer has gone out with this outcome or before. */
     void ended(Moment now, CallOut callOut, Outcome outcome, boolean closed, Role role, Moment position, Span took);
 
--- /dev/null
+++ b/src/main/java/ironwind/net/ClientConnection.java
@@ -0,0 +1,115 @@
+package ironwind.net;
+
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.net.NetSocket;
+import ironwind.pg.ClientMessage;
+import ironwind.pg.Encoder;
+import ironwind.pg.Failure;
+import ironwind.pg.Frame;
+import ironwind.pg.Frames;
+import ironwind.pg.Pg;
+import ironwind.pg.PgFault;
+import java.util.ArrayDeque;
+import java.util.Deque;
+
+/** One client's connection: its commands are taken as they come and answered in their order. */
+final class ClientConnection {
+    private final NetSocket socket;
+    private final Clients clients;
+    private final Frames frames = new Frames(true, Pg.LARGEST_MESSAGE);
+    private final Deque<Exchange> exchanges = new ArrayDeque<>();
+    private boolean skipping;
+    private boolean dismissed;
+    private boolean closed;
+
+    ClientConnection(NetSocket socket, Clients clients) {
+        this.socket = socket;
+        this.clients = clients;
+        socket.handler(this::received);
+        socket.closeHandler(nothing -> closed(Ending.CLIENT_LEFT));
+        socket.exceptionHandler(fault -> closed(Ending.CLIENT_LEFT));
+    }
+
+    private void received(Buffer buffer) {
+        try {
+            frames.add(buffer.getBytes());
+            for (Frame frame = frames.next(); frame != null && !closed; frame = frames.next()) {
+                take(ClientMessage.decode(frame));
+            }
+        } catch (PgFault fault) {
+            clients.malformed(fault);
+            write(Encoder.fatal(new Failure(fault.code, fault.getMessage(), null)));
+            closed(Ending.CLIENT_MALFORMED);
+        }
+    }
+
+    private void take(ClientMessage message) {
+        if (message instanceof ClientMessage.Query query) {
+            command(query.sql());
+        } else if (message instanceof ClientMessage.Startup) {
+            frames.started();
+            write(Encoder.welcome());
+        } else if (message instanceof ClientMessage.Encryption) {
+            write(Encoder.noEncryption());
+        } else if (message instanceof ClientMessage.Extended) {
+            skipping = true;
+        } else if (message instanceof ClientMessage.Sync) {
+            Failure failure = new Failure(PgFault.UNSUPPORTED, "only simple queries are spoken here", null);
+            add(null).answer(skipping ? Encoder.failure(failure) : Encoder.ready());
+            skipping = false;
+        } else {
+            closed(Ending.CLIENT_LEFT);
+        }
+    }
+
+    private void command(String sql) {
+        try {
+            clients.command(this, sql);
+        } catch (PgFault fault) {
+            clients.malformed(fault);
+            add(null).answer(Encoder.failure(new Failure(fault.code, fault.getMessage(), null)));
+        }
+    }
+
+    Exchange add(ironwind.pg.Statement statement) {
+        Exchange exchange = new Exchange(this, statement);
+        exchanges.add(exchange);
+        return exchange;
+    }
+
+    /** Passes on what is answered, in the order of the commands. */
+    void flush() {
+        while (!exchanges.isEmpty() && exchanges.peek().answer() != null) {
+            write(exchanges.poll().answer());
+        }
+        if (dismissed) {
+            dismiss();
+        }
+    }
+
+    /** Closes the connection between two requests, now or once what it has brought is answered. */
+    void dismiss() {
+        dismissed = true;
+        if (exchanges.isEmpty() && !frames.midway()) {
+            closed(Ending.CLIENT_DISMISSED);
+        }
+    }
+
+    boolean isIdle() {
+        return exchanges.isEmpty() && !frames.midway();
+    }
+
+    private void write(byte[] bytes) {
+        if (!closed) {
+            socket.write(Buffer.buffer(bytes));
+        }
+    }
+
+    private void closed(Ending ending) {
+        if (!closed) {
+            closed = true;
+            socket.close();
+            clients.ended(this, ending, exchanges);
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/ironwind/net/Discovery.java
@@ -0,0 +1,150 @@
+package ironwind.net;
+
+import io.vertx.core.Vertx;
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.http.HttpClientAgent;
+import io.vertx.core.http.HttpClientOptions;
+import io.vertx.core.http.HttpMethod;
+import io.vertx.core.http.PoolOptions;
+import io.vertx.core.json.JsonArray;
+import io.vertx.core.json.JsonObject;
+import ironwind.model.Host.Listing;
+import ironwind.model.Moment;
+import ironwind.model.RosterEntry;
+import ironwind.model.Span;
+import ironwind.net.Counters.Count;
+import ironwind.start.Address;
+import ironwind.start.Names;
+import ironwind.start.StartFacts;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+
+/** Keeps one watch open on discovery, and tells the module's task what it says. */
+final class Discovery {
+    private static final String PATH = "/registry/instances";
+    private static final String PRIMARY = "primary";
+    /** How long a watch waits for news; PROTOCOL allows up to a minute. */
+    private static final long WAIT_MS = 5_000;
+    /** PROTOCOL: what a call that may wait has to tell counts as told so long after the wait. */
+    private static final long GRACE_MS = 2_000;
+    /** PROTOCOL: a watch goes on if the next call comes within 200 ms. */
+    private static final long RETRY_MS = 100;
+
+    private final Vertx vertx;
+    private final HttpClientAgent client;
+    private final Address address;
+    private final Names names;
+    private final LogicTask logic;
+    private final HostConnections hosts;
+    private final Counters counters;
+    private final Log log;
+    private long version = -1;
+    private boolean stopped;
+    private boolean failing;
+    private Runnable whenHeard = () -> { };
+
+    Discovery(Vertx vertx, StartFacts facts, LogicTask logic, HostConnections hosts, Counters counters, Log log) {
+        this.vertx = vertx;
+        this.address = facts.discovery();
+        this.names = facts.names();
+        this.logic = logic;
+        this.hosts = hosts;
+        this.counters = counters;
+        this.log = log;
+        this.client = vertx.createHttpClient(new HttpClientOptions(), new PoolOptions().setHttp1MaxSize(1));
+    }
+
+    /** Tells what the router knew at its start, then asks for more; runs the action on the first answer. */
+    void start(JsonObject known, Runnable heard) {
+        tell(known);
+        version = -1;
+        whenHeard = heard;
+        ask();
+    }
+
+    private void ask() {
+        if (stopped) {
+            return;
+        }
+        boolean watch = version >= 0;
+        String uri = watch ? PATH + "?after=" + version + "&wait_ms=" + WAIT_MS : PATH;
+        long patience = GRACE_MS + (watch ? WAIT_MS : 0);
+        client.request(HttpMethod.GET, address.port(), address.ip(), uri)
+                .compose(request -> request.send().expecting(response -> response.statusCode() == 200))
+                .compose(response -> response.body())
+                .timeout(patience, java.util.concurrent.TimeUnit.MILLISECONDS)
+                .onSuccess(this::answered)
+                .onFailure(this::failed);
+    }
+
+    private void answered(Buffer body) {
+        try {
+            tell(body.toJsonObject());
+        } catch (RuntimeException malformed) {
+            failed(malformed);
+            return;
+        }
+        if (failing) {
+            log.info("discovery_back", "version", version);
+            failing = false;
+        }
+        whenHeard.run();
+        whenHeard = () -> { };
+        ask();
+    }
+
+    private void failed(Throwable cause) {
+        if (!failing && !stopped) {
+            log.warn("discovery_failed", "cause", cause);
+            failing = true;
+        }
+        vertx.setTimer(RETRY_MS, timer -> ask());
+    }
+
+    /** Reads all of an answer before any of it counts. */
+    private void tell(JsonObject answer) {
+        JsonArray servers = answer.getJsonArray("servers");
+        boolean full = answer.getBoolean("full", true);
+        List<RosterEntry> entries = new ArrayList<>();
+        Map<String, Address> addresses = new HashMap<>();
+        for (int i = 0; i < servers.size(); i++) {
+            JsonObject server = servers.getJsonObject(i);
+            RosterEntry entry = entry(server);
+            entries.add(entry);
+            addresses.put(entry.id(), Address.parse(server.getString("addr")));
+        }
+        version = answer.getLong("version");
+        if (full || !entries.isEmpty()) {
+            counters.add(Count.LISTS);
+            logic.listed(full, entries, () -> addresses.forEach(hosts::locate));
+        }
+    }
+
+    private RosterEntry entry(JsonObject server) {
+        String state = server.getString("state");
+        Listing listing = switch (state) {
+            case "Ready" -> Listing.READY;
+            case "Terminating" -> Listing.DRAINING;
+            case "Gone" -> Listing.GONE;
+            default -> throw new IllegalArgumentException("unknown state " + state);
+        };
+        long started = server.getLong("started_ms", 0L);
+        return new RosterEntry(server.getString("id"), index(names.zones(), server.getString("zone")),
+                index(names.kinds(), server.getString("kind")), server.getInteger("cell", 0), listing,
+                server.getDouble("weight", 1.0), started == 0 ? Moment.NEVER : new Moment(0).plus(Span.ofMillis(started)),
+                PRIMARY.equals(server.getString("role")));
+    }
+
+    /** Names that the settings don't have share the last number. */
+    private static int index(List<String> known, String name) {
+        int index = known.indexOf(name);
+        return index < 0 ? known.size() : index;
+    }
+
+    void stop() {
+        stopped = true;
+        client.close();
+    }
+}
--- /dev/null
+++ b/src/main/java/ironwind/net/Ending.java
@@ -0,0 +1,43 @@
+package ironwind.net;
+
+import ironwind.model.Outcome;
+import ironwind.pg.Failure;
+
+/** Every way in which a connection, or one use of it, can end. */
+public enum Ending {
+    // uses of a connection to a host that the host answered
+    SERVED, MISSED, FAILED, TURNED_AWAY,
+    // connections to a host that were to carry a request
+    REFUSED, NEVER_UP, NO_SOCKET, BROKE_UNWRITTEN, BROKE_WRITTEN, GARBLED,
+    // what the router gave up itself
+    TIMED_OUT, CALLED_OFF, LAPSED,
+    // connections that carried nothing then
+    IDLE_CLOSED, CLOSED_BY_HOST,
+    // connections of clients
+    CLIENT_LEFT, CLIENT_DISMISSED, CLIENT_MALFORMED, CLIENT_REFUSED;
+
+    /** What the use of a connection comes to for the decision module; null where no call-out can be on it. */
+    public Outcome outcome() {
+        return switch (this) {
+            case SERVED -> Outcome.OK;
+            case MISSED -> Outcome.MISS;
+            case FAILED -> Outcome.ERROR;
+            case TURNED_AWAY -> Outcome.FULL;
+            case REFUSED, NEVER_UP, NO_SOCKET, BROKE_UNWRITTEN -> Outcome.UNREACHED;
+            case BROKE_WRITTEN, GARBLED -> Outcome.BROKEN;
+            case TIMED_OUT -> Outcome.EXPIRED;
+            case CALLED_OFF -> Outcome.CANCELLED;
+            case LAPSED -> Outcome.UNSENT;
+            case IDLE_CLOSED, CLOSED_BY_HOST, CLIENT_LEFT, CLIENT_DISMISSED, CLIENT_MALFORMED, CLIENT_REFUSED -> null;
+        };
+    }
+
+    /** How an answer that is an error ends the use of its connection. */
+    static Ending of(Failure failure) {
+        return switch (failure.code()) {
+            case Failure.MISPLACED_WRITE, Failure.TOO_FAR_BEHIND -> MISSED;
+            case Failure.TOO_MANY, Failure.NOT_NOW -> TURNED_AWAY;
+            default -> FAILED;
+        };
+    }
+}
--- /dev/null
+++ b/src/main/java/ironwind/net/Exchange.java
@@ -0,0 +1,32 @@
+package ironwind.net;
+
+import ironwind.model.Rpc;
+import ironwind.pg.Statement;
+
+/** One command of a client and the answer owed for it. */
+final class Exchange {
+    final ClientConnection client;
+    /** What was asked; null where no RPC came of it. */
+    final Statement statement;
+    Rpc rpc;
+    private byte[] answer;
+
+    Exchange(ClientConnection client, Statement statement) {
+        this.client = client;
+        this.statement = statement;
+    }
+
+    /** Takes the one answer; true if it is the first. */
+    boolean answer(byte[] bytes) {
+        boolean first = answer == null;
+        if (first) {
+            answer = bytes;
+            client.flush();
+        }
+        return first;
+    }
+
+    byte[] answer() {
+        return answer;
+    }
+}
--- /dev/null
+++ b/src/main/java/ironwind/net/HostConnection.java
@@ -0,0 +1,169 @@
+package ironwind.net;
+
+import io.vertx.core.Future;
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.net.NetSocket;
+import ironwind.model.Moment;
+import ironwind.pg.Encoder;
+import ironwind.pg.Frame;
+import ironwind.pg.Frames;
+import ironwind.pg.HostMessage;
+import ironwind.pg.Pg;
+import ironwind.pg.PgFault;
+
+/** One connection to a host: brought up, then used for one request after another. */
+final class HostConnection {
+    private static final String USER = "client";
+    private static final String DATABASE = "core";
+
+    final String hostId;
+    private final HostConnections pool;
+    private final Frames frames = new Frames(false, Pg.LARGEST_MESSAGE);
+    private NetSocket socket;
+    private boolean up;
+    private boolean closed;
+    private Use use;
+    private HostWord word = new HostWord();
+    private Future<Void> written;
+    Moment idleSince = Moment.NEVER;
+
+    /** One use of a connection: a request and its answer. */
+    interface Use {
+        /** The connection is up: time to {@link #write} the request, or to {@link #leave}. */
+        void up(HostConnection connection);
+
+        /** Called once, unless the use was given up by its owner. */
+        void ended(Ending ending, HostWord word);
+    }
+
+    HostConnection(String hostId, HostConnections pool, Use use) {
+        this.hostId = hostId;
+        this.pool = pool;
+        this.use = use;
+    }
+
+    boolean isUp() {
+        return up;
+    }
+
+    /** The socket is there: says hello, and waits for the host's welcome. */
+    void opened(NetSocket opened) {
+        socket = opened;
+        if (closed) {
+            socket.close();
+            return;
+        }
+        socket.handler(this::received);
+        socket.closeHandler(nothing -> broken());
+        socket.exceptionHandler(fault -> broken());
+        socket.write(Buffer.buffer(Encoder.startup(USER, DATABASE)));
+    }
+
+    void take(Use next) {
+        use = next;
+    }
+
+    void write(byte[] request) {
+        word = new HostWord();
+        written = socket.write(Buffer.buffer(request));
+    }
+
+    /** The use is over before its request was written. */
+    void leave() {
+        use = null;
+        pool.idle(this);
+    }
+
+    /** Gives up a use, and the connection with it; its owner hears no more of it. Tells whether it may have run. */
+    boolean giveUp() {
+        boolean mayHaveRun = wasWritten();
+        use = null;
+        close();
+        return mayHaveRun;
+    }
+
+    private boolean wasWritten() {
+        return written != null && !written.failed() && written.succeeded();
+    }
+
+    private void received(Buffer buffer) {
+        try {
+            frames.add(buffer.getBytes());
+            for (Frame frame = frames.next(); frame != null && !closed; frame = frames.next()) {
+                HostMessage message = HostMessage.decode(frame);
+                if (message instanceof HostMessage.Ready) {
+                    ready();
+                } else {
+                    word.hear(message);
+                }
+            }
+        } catch (PgFault fault) {
+            pool.garbled(this, fault);
+            end(Ending.GARBLED);
+        }
+    }
+
+    private void ready() {
+        if (!up) {
+            up = true;
+            pool.cameUp(this);
+            word = new HostWord();
+            if (use == null) {
+                pool.idle(this);
+            } else {
+                use.up(this);
+            }
+        } else if (use != null && written != null) {
+            Use done = use;
+            HostWord said = word;
+            use = null;
+            written = null;
+            word = new HostWord();
+            pool.idle(this);
+            done.ended(said.ending(), said);
+        }
+    }
+
+    /** The connection is gone. What a host said before it closed still counts. */
+    private void broken() {
+        if (closed) {
+            return;
+        }
+        if (use == null) {
+            end(Ending.CLOSED_BY_HOST);
+        } else if (word.failed()) {
+            end(word.ending());
+        } else {
+            end(wasWritten() ? Ending.BROKE_WRITTEN : Ending.BROKE_UNWRITTEN);
+        }
+    }
+
+    /** It never came up. */
+    void failed(Ending ending) {
+        if (!closed && !up) {
+            end(ending);
+        }
+    }
+
+    private void end(Ending ending) {
+        Use done = use;
+        HostWord said = word;
+        use = null;
+        close();
+        if (done == null) {
+            pool.ended(ending);
+        } else {
+            done.ended(ending, said);
+        }
+    }
+
+    void close() {
+        if (!closed) {
+            closed = true;
+            pool.forget(this);
+            if (socket != null) {
+                socket.close();
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/ironwind/net/HostConnections.java
@@ -0,0 +1,150 @@
+package ironwind.net;
+
+import io.vertx.core.Vertx;
+import io.vertx.core.net.NetClient;
+import io.vertx.core.net.NetClientOptions;
+import io.vertx.core.net.SocketAddress;
+import ironwind.model.Moment;
+import ironwind.model.Span;
+import ironwind.net.Counters.Count;
+import ironwind.pg.PgFault;
+import ironwind.start.Address;
+import ironwind.start.StartFacts;
+import java.net.ConnectException;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+
+/** All connections to hosts: one request at a time on each, a new one only where none is idle. */
+final class HostConnections {
+    private final Vertx vertx;
+    private final NetClient client;
+    private final Span connectTime;
+    private final Span idleTime;
+    private final int most;
+    private final Counters counters;
+    private final Log log;
+    private final Map<String, Address> addresses = new HashMap<>();
+    private final Map<String, Deque<HostConnection>> idle = new LinkedHashMap<>();
+    private final Set<HostConnection> open = new HashSet<>();
+
+    HostConnections(Vertx vertx, StartFacts facts, int most, Counters counters, Log log) {
+        this.vertx = vertx;
+        this.connectTime = facts.connectTime();
+        // A host closes what has been idle so long: the connect time covers a request on its way.
+        this.idleTime = facts.hostIdleTime().minus(facts.connectTime());
+        this.most = most;
+        this.counters = counters;
+        this.log = log;
+        this.client = vertx.createNetClient(new NetClientOptions().setConnectTimeout(millis(connectTime)));
+        vertx.setPeriodic(millis(connectTime), timer -> closeStale());
+    }
+
+    static int millis(Span span) {
+        return (int) Math.max(1, (span.us() + 999) / 1_000);
+    }
+
+    /** Where a host listens; what is open to an address it had before is closed. */
+    void locate(String hostId, Address address) {
+        Address before = addresses.put(hostId, address);
+        if (before != null && !before.equals(address)) {
+            closeIdle(hostId);
+        }
+    }
+
+    /** Finds a connection for a use; it may have to come up first. Null where there is no socket for it. */
+    HostConnection open(String hostId, HostConnection.Use use) {
+        Deque<HostConnection> free = idle.get(hostId);
+        if (free != null && !free.isEmpty()) {
+            HostConnection connection = free.pop();
+            connection.take(use);
+            return connection;
+        }
+        Address address = addresses.get(hostId);
+        if (address == null || !roomForOne()) {
+            log.warn("no_socket", "host", hostId, "open", open.size());
+            return null;
+        }
+        HostConnection connection = new HostConnection(hostId, this, use);
+        open.add(connection);
+        counters.add(Count.HOST_CONNECTIONS);
+        vertx.setTimer(millis(connectTime), timer -> connection.failed(Ending.NEVER_UP));
+        client.connect(SocketAddress.inetSocketAddress(address.port(), address.ip())).onComplete(result -> {
+            if (result.succeeded()) {
+                connection.opened(result.result());
+            } else {
+                boolean refused = result.cause() instanceof ConnectException;
+                connection.failed(refused ? Ending.REFUSED : Ending.NEVER_UP);
+            }
+        });
+        return connection;
+    }
+
+    /** Where all sockets are taken, one that is idle elsewhere gives way. */
+    private boolean roomForOne() {
+        if (open.size() >= most) {
+            for (Deque<HostConnection> free : idle.values()) {
+                if (!free.isEmpty()) {
+                    free.peekLast().close();
+                    break;
+                }
+            }
+        }
+        return open.size() < most;
+    }
+
+    void cameUp(HostConnection connection) {
+        // Nothing to note yet: its use hears of it.
+    }
+
+    void idle(HostConnection connection) {
+        connection.idleSince = Clock.read();
+        idle.computeIfAbsent(connection.hostId, id -> new ArrayDeque<>()).push(connection);
+    }
+
+    void forget(HostConnection connection) {
+        open.remove(connection);
+        Deque<HostConnection> free = idle.get(connection.hostId);
+        if (free != null) {
+            free.remove(connection);
+        }
+    }
+
+    void ended(Ending ending) {
+        counters.add(ending);
+    }
+
+    void garbled(HostConnection connection, PgFault fault) {
+        log.warn("host_garbled", "host", connection.hostId, "what", fault.getMessage());
+    }
+
+    void closeIdle(String hostId) {
+        close(new ArrayList<>(idle.getOrDefault(hostId, new ArrayDeque<>())));
+    }
+
+    private void closeStale() {
+        Moment before = Clock.read().minus(idleTime);
+        List<HostConnection> stale = new ArrayList<>();
+        for (Deque<HostConnection> free : idle.values()) {
+            free.stream().filter(connection -> connection.idleSince.before(before)).forEach(stale::add);
+        }
+        close(stale);
+    }
+
+    private void close(List<HostConnection> connections) {
+        for (HostConnection connection : connections) {
+            connection.close();
+            counters.add(Ending.IDLE_CLOSED);
+        }
+    }
+
+    void stop() {
+        new ArrayList<>(open).forEach(HostConnection::close);
+    }
+}
--- /dev/null
+++ b/src/main/java/ironwind/net/LogicTask.java
@@ -0,0 +1,303 @@
+package ironwind.net;
+
+import io.vertx.core.Context;
+import io.vertx.core.Vertx;
+import ironwind.Logic;
+import ironwind.model.CallOut;
+import ironwind.model.Customer;
+import ironwind.model.Deployment;
+import ironwind.model.Host;
+import ironwind.model.Inbound;
+import ironwind.model.Method;
+import ironwind.model.Moment;
+import ironwind.model.Outbound;
+import ironwind.model.Outcome;
+import ironwind.model.Role;
+import ironwind.model.RosterEntry;
+import ironwind.model.Rpc;
+import ironwind.model.Span;
+import ironwind.net.Counters.Count;
+import ironwind.pg.Encoder;
+import ironwind.pg.Failure;
+import ironwind.start.StartFacts;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Queue;
+import java.util.concurrent.ConcurrentLinkedQueue;
+import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.function.Consumer;
+
+/**
+ * The sole owner of the decision module. What happens on sockets is put into a queue; a batch takes all that
+ * waits there at one time, settles once, and carries out what the module asks for.
+ */
+final class LogicTask implements Outbound {
+    private static final Failure PUSHED_BACK = new Failure(Failure.TOO_MANY, "pushed back: try again later", null);
+    private static final Failure ABORTED = new Failure("40003", "aborted: it may or may not have run", null);
+    private static final String PROBE = "SELECT 1";
+    private static final String PROBE_FOR_REPORT = "SHOW load";
+
+    private final Vertx vertx;
+    private final Context context;
+    private final Deployment deployment;
+    private final Inbound logic;
+    private final HostConnections hosts;
+    private final Span probeTime;
+    private final Counters counters;
+    private final Log log;
+    private final Queue<Event> queue = new ConcurrentLinkedQueue<>();
+    private final AtomicBoolean batchDue = new AtomicBoolean();
+    private final Map<Rpc, Exchange> exchanges = new HashMap<>();
+    private final Map<CallOut, Sending> sendings = new HashMap<>();
+    private Moment now = Moment.NEVER;
+
+    /** What an RPC's comment says, read. */
+    record Asked(String id, Method method, Customer customer, int group, String session, long waits, long after,
+            boolean repeat) {
+    }
+
+    /** What happened, and the exchange it concerns, if one. */
+    private record Event(Exchange concerned, Consumer<Moment> act) {
+    }
+
+    LogicTask(Vertx vertx, Context context, StartFacts facts, HostConnections hosts, Counters counters, Log log) {
+        this.vertx = vertx;
+        this.context = context;
+        this.deployment = facts.deployment();
+        this.logic = new Logic(deployment, facts.seed(), this);
+        this.hosts = hosts;
+        this.probeTime = facts.connectTime();
+        this.counters = counters;
+        this.log = log;
+    }
+
+    // ---- the queue
+
+    private void put(Exchange concerned, Consumer<Moment> act) {
+        queue.add(new Event(concerned, act));
+        if (batchDue.compareAndSet(false, true)) {
+            context.runOnContext(nothing -> batch());
+        }
+    }
+
+    private void batch() {
+        batchDue.set(false);
+        now = now.later(Clock.read());
+        for (Event event = queue.poll(); event != null; event = queue.poll()) {
+            guard(event.concerned, event.act);
+        }
+        guard(null, logic::settle);
+    }
+
+    /** An exception that nothing expected is told once, and what it concerns is still answered. */
+    private void guard(Exchange concerned, Consumer<Moment> act) {
+        try {
+            act.accept(now);
+        } catch (RuntimeException fault) {
+            counters.add(Count.FAULTS);
+            log.error("fault", fault);
+            if (concerned != null && concerned.answer(Encoder.failure(ABORTED))) {
+                counters.add(Count.ABORTED);
+            }
+        }
+    }
+
+    // ---- what comes in
+
+    void listed(boolean complete, List<RosterEntry> entries, Runnable before) {
+        put(null, time -> {
+            before.run();
+            logic.listed(time, complete, entries);
+        });
+    }
+
+    void arrived(Exchange exchange, Asked asked) {
+        counters.add(Count.RPCS);
+        put(exchange, time -> {
+            Rpc rpc = new Rpc(asked.id, asked.method, asked.customer, logic.group(asked.group), asked.session, time,
+                    time.plus(Span.ofMillis(asked.waits)), asked.after <= 0 ? Moment.NEVER : new Moment(asked.after * 1_000),
+                    asked.repeat);
+            exchange.rpc = rpc;
+            exchanges.put(rpc, exchange);
+            logic.arrived(time, rpc);
+        });
+    }
+
+    void left(Exchange exchange) {
+        put(null, time -> {
+            if (exchange.rpc != null && exchange.rpc.stage != Rpc.Stage.OVER) {
+                counters.add(Count.LEFT);
+                logic.left(time, exchange.rpc);
+                forget(exchange.rpc);
+            }
+        });
+    }
+
+    // ---- what the module asks for
+
+    /** One call-out on its way. */
+    private final class Sending implements HostConnection.Use {
+        private final CallOut callOut;
+        private HostConnection connection;
+        private long timer;
+        private boolean over;
+
+        Sending(CallOut callOut, Span limit) {
+            this.callOut = callOut;
+            Moment until = limit.us() > 0 ? callOut.rpc.deadline.earlier(now.plus(limit)) : callOut.rpc.deadline;
+            timer = vertx.setTimer(HostConnections.millis(until.since(now)), id -> giveUp(Ending.TIMED_OUT));
+        }
+
+        void begin() {
+            connection = hosts.open(callOut.host.id, this);
+            if (connection == null) {
+                ended(Ending.NO_SOCKET, null);
+            } else if (connection.isUp()) {
+                write();
+            }
+        }
+
+        @Override
+        public void up(HostConnection opened) {
+            put(exchanges.get(callOut.rpc), time -> {
+                if (over) {
+                    return;
+                }
+                if (logic.stillPasses(time, callOut)) {
+                    write();
+                } else {
+                    opened.leave();
+                    ended(Ending.LAPSED, null);
+                }
+            });
+        }
+
+        private void write() {
+            long left = callOut.rpc.deadline.since(now).us() / 1_000;
+            connection.write(Encoder.query(exchanges.get(callOut.rpc).statement.waitingFor(Math.max(1, left))));
+        }
+
+        void giveUp(Ending ending) {
+            if (!over) {
+                boolean mayHaveRun = connection.giveUp();
+                ended(mayHaveRun ? ending : Ending.LAPSED, null);
+            }
+        }
+
+        @Override
+        public void ended(Ending ending, HostWord word) {
+            over = true;
+            vertx.cancelTimer(timer);
+            counters.add(ending);
+            put(exchanges.get(callOut.rpc), time -> close(time, callOut, ending, word));
+        }
+    }
+
+    private void close(Moment time, CallOut callOut, Ending ending, HostWord word) {
+        Rpc rpc = callOut.rpc;
+        Outcome outcome = ending.outcome();
+        sendings.remove(callOut);
+        boolean open = rpc.stage != Rpc.Stage.OVER;
+        if (outcome == Outcome.OK && open && exchanges.get(rpc).answer(Encoder.row(word.row()))) {
+            counters.add(Count.OK);
+        }
+        Role role = word == null ? Role.UNTOLD : word.role();
+        Moment position = word == null ? Moment.NEVER : word.position();
+        logic.ended(time, callOut, outcome, !open || outcome == Outcome.OK, role, position, time.since(callOut.sent));
+        forget(rpc);
+    }
+
+    @Override
+    public void send(CallOut callOut, Span limit) {
+        counters.add(Count.CALL_OUTS);
+        Sending sending = new Sending(callOut, limit);
+        sendings.put(callOut, sending);
+        sending.begin();
+    }
+
+    @Override
+    public void cancel(CallOut callOut) {
+        Sending sending = sendings.get(callOut);
+        if (sending != null) {
+            sending.giveUp(Ending.CALLED_OFF);
+        }
+    }
+
+    @Override
+    public void pushBack(Rpc rpc, Span comeBackAfter) {
+        String wait = comeBackAfter.us() > 0 ? Long.toString(HostConnections.millis(comeBackAfter)) : null;
+        answer(rpc, Count.PUSHED_BACK, new Failure(PUSHED_BACK.code(), PUSHED_BACK.message(), wait));
+    }
+
+    @Override
+    public void abort(Rpc rpc) {
+        answer(rpc, Count.ABORTED, ABORTED);
+    }
+
+    private void answer(Rpc rpc, Count count, Failure failure) {
+        if (exchanges.get(rpc).answer(Encoder.failure(failure))) {
+            counters.add(count);
+        }
+        forget(rpc);
+    }
+
+    private void forget(Rpc rpc) {
+        if (rpc.stage == Rpc.Stage.OVER && rpc.out == 0) {
+            exchanges.remove(rpc);
+        }
+    }
+
+    @Override
+    public void probe(Host host) {
+        counters.add(Count.PROBES);
+        new Probe(host).begin();
+    }
+
+    /** One probe on its way. */
+    private final class Probe implements HostConnection.Use {
+        private final Host host;
+        private HostConnection connection;
+        private long timer;
+
+        Probe(Host host) {
+            this.host = host;
+        }
+
+        void begin() {
+            timer = vertx.setTimer(HostConnections.millis(probeTime), id -> {
+                connection.giveUp();
+                ended(Ending.TIMED_OUT, null);
+            });
+            connection = hosts.open(host.id, this);
+            if (connection == null) {
+                ended(Ending.NO_SOCKET, null);
+            } else if (connection.isUp()) {
+                up(connection);
+            }
+        }
+
+        @Override
+        public void up(HostConnection opened) {
+            opened.write(Encoder.query(deployment.probesTellPosition() ? PROBE_FOR_REPORT : PROBE));
+        }
+
+        @Override
+        public void ended(Ending ending, HostWord word) {
+            vertx.cancelTimer(timer);
+            boolean answered = ending == Ending.SERVED;
+            put(null, time -> logic.probed(time, host, answered, answered ? word.reportedRole() : Role.UNTOLD,
+                    answered ? word.reportedPosition() : Moment.NEVER));
+        }
+    }
+
+    @Override
+    public void closeIdle(Host host) {
+        hosts.closeIdle(host.id);
+    }
+
+    @Override
+    public void wakeAt(Moment when) {
+        vertx.setTimer(HostConnections.millis(when.since(now)), timer -> put(null, time -> { }));
+    }
+}
--- /dev/null
+++ b/src/main/java/ironwind/net/Router.java
@@ -0,0 +1,85 @@
+package ironwind.net;
+
+import io.vertx.core.Context;
+import io.vertx.core.Future;
+import io.vertx.core.Promise;
+import io.vertx.core.Vertx;
+import io.vertx.core.VertxOptions;
+import io.vertx.core.file.FileSystemOptions;
+import ironwind.start.StartFacts;
+
+/** One real router, for use in a program of one's own: start it, ask its clients away, stop it. */
+public final class Router {
+    /** PROTOCOL: after SIGTERM new connections keep coming for up to 0.4 s. */
+    private static final long LAST_ARRIVALS_MS = 500;
+    /** How long the first list is waited for before the router says it is ready with what it knew. */
+    private static final long FIRST_LIST_MS = 2_000;
+    /** Descriptors for all that is no connection of a client or a host: files, selectors, discovery. */
+    private static final int OTHER_DESCRIPTORS = 64;
+    /** Of the others, the part that connections to hosts may take. */
+    private static final double HOSTS_PART = 0.4;
+
+    private final StartFacts facts;
+    private final Log log;
+    private final Counters counters = new Counters();
+    private final Vertx vertx;
+    private Clients clients;
+    private HostConnections hosts;
+    private Discovery discovery;
+
+    public Router(StartFacts facts, Log log) {
+        this.facts = facts;
+        this.log = log;
+        this.vertx = Vertx.vertx(new VertxOptions().setEventLoopPoolSize(1).setWorkerPoolSize(1)
+                .setInternalBlockingPoolSize(1).setFileSystemOptions(new FileSystemOptions()
+                        .setFileCachingEnabled(false).setClassPathResolvingEnabled(false)));
+    }
+
+    /** Begins to listen; the future fails where the address can't be had. */
+    public Future<Void> start() {
+        Promise<Void> started = Promise.promise();
+        Context context = vertx.getOrCreateContext();
+        context.runOnContext(nothing -> {
+            int sockets = Math.max(2, facts.mostSockets() - OTHER_DESCRIPTORS);
+            int forHosts = (int) (HOSTS_PART * sockets);
+            hosts = new HostConnections(vertx, facts, forHosts, counters, log);
+            LogicTask logic = new LogicTask(vertx, context, facts, hosts, counters, log);
+            discovery = new Discovery(vertx, facts, logic, hosts, counters, log);
+            clients = new Clients(vertx, facts, sockets - forHosts, logic, counters, log);
+            clients.listen().<Void>mapEmpty().onComplete(started);
+            discovery.start(facts.knownHosts(), this::ready);
+            vertx.setTimer(FIRST_LIST_MS, timer -> ready());
+        });
+        return started.future().onSuccess(nothing ->
+                log.info("listening", "name", facts.name(), "address", facts.listen().ip() + ":" + clients.port()));
+    }
+
+    private void ready() {
+        clients.ready();
+    }
+
+    /** Goes on serving while clients still come, asks them away between requests, and ends when none is left. */
+    public Future<Void> drain() {
+        Promise<Void> gone = Promise.promise();
+        log.info("draining");
+        vertx.setTimer(LAST_ARRIVALS_MS, timer -> clients.dismissAll(() -> gone.tryComplete()));
+        return gone.future();
+    }
+
+    /** Ends at once. */
+    public Future<Void> stop() {
+        log.info("stopped", "counters", counters);
+        discovery.stop();
+        hosts.stop();
+        return vertx.close();
+    }
+
+    /** The port it listens on, once started. */
+    public int port() {
+        return clients.port();
+    }
+
+    public Counters counters() {
+        return counters;
+    }
+}
--- /dev/null
+++ b/src/main/java/ironwind/pg/Encoder.java
@@ -0,0 +1,69 @@
+package ironwind.pg;
+
+/** Messages as bytes: first what a server says, then what a client says. */
+public final class Encoder {
+    private static final byte[] READY = new Writer().begin('Z').int1('I').end().bytes();
+    private static final int VERSION = ClientMessage.VERSION_3 << 16;
+
+    private Encoder() {
+    }
+
+    /** The answer to a start-up message, up to the first ReadyForQuery. */
+    public static byte[] welcome() {
+        return new Writer().begin('R').int4(0).end()
+                .begin('S').text("server_version").text("15.0").end()
+                .begin('S').text("server_encoding").text("UTF8").end()
+                .begin('S').text("client_encoding").text("UTF8").end()
+                .begin('S').text("standard_conforming_strings").text("on").end()
+                .raw(READY).bytes();
+    }
+
+    /** The answer to a request for encryption: no. */
+    public static byte[] noEncryption() {
+        return new byte[] {'N'};
+    }
+
+    public static byte[] row(Row row) {
+        return new Writer().begin('T').raw(row.description()).end().begin('D').raw(row.data()).end()
+                .begin('C').text(row.tag()).end().raw(READY).bytes();
+    }
+
+    public static byte[] failure(Failure failure) {
+        return failure(failure, "ERROR").raw(READY).bytes();
+    }
+
+    /** An error after which the connection is closed. */
+    public static byte[] fatal(Failure failure) {
+        return failure(failure, "FATAL").bytes();
+    }
+
+    private static Writer failure(Failure failure, String severity) {
+        Writer writer = new Writer().begin('E').int1('S').text(severity).int1('V').text(severity)
+                .int1('C').text(failure.code()).int1('M').text(failure.message());
+        if (failure.detail() != null) {
+            writer.int1('D').text(failure.detail());
+        }
+        return writer.int1(0).end();
+    }
+
+    public static byte[] emptyQuery() {
+        return new Writer().begin('I').end().raw(READY).bytes();
+    }
+
+    public static byte[] ready() {
+        return READY.clone();
+    }
+
+    public static byte[] startup(String user, String database) {
+        return new Writer().begin(Frame.STARTUP).int4(VERSION).text("user").text(user)
+                .text("database").text(database).int1(0).end().bytes();
+    }
+
+    public static byte[] query(String sql) {
+        return new Writer().begin('Q').text(sql).end().bytes();
+    }
+
+    public static byte[] terminate() {
+        return new Writer().begin('X').end().bytes();
+    }
+}
--- /dev/null
+++ b/src/main/java/ironwind/pg/Frames.java
@@ -0,0 +1,71 @@
+package ironwind.pg;
+
+import java.util.Arrays;
+
+/** Cuts what comes in, split or joined at any byte, into messages. */
+public final class Frames {
+    private static final int LENGTH_BYTES = 4;
+
+    private final int longest;
+    private boolean startup;
+    private byte[] bytes = new byte[256];
+    private int from;
+    private int to;
+
+    /** {@code startup}: the first message bears no type. Bodies may have {@code longest} bytes. */
+    public Frames(boolean startup, int longest) {
+        this.startup = startup;
+        this.longest = longest;
+    }
+
+    public void add(byte[] more) {
+        if (to + more.length > bytes.length) {
+            int kept = to - from;
+            byte[] target = kept + more.length <= bytes.length ? bytes
+                    : new byte[Math.max(kept + more.length, Math.min(2 * bytes.length, longest))];
+            System.arraycopy(bytes, from, target, 0, kept);
+            bytes = target;
+            from = 0;
+            to = kept;
+        }
+        System.arraycopy(more, 0, bytes, to, more.length);
+        to += more.length;
+    }
+
+    /** The next whole message, or null where more must come first. */
+    public Frame next() {
+        int head = startup ? 0 : 1;
+        if (to - from < head + LENGTH_BYTES) {
+            return null;
+        }
+        int length = Pg.int4(bytes, from + head) - LENGTH_BYTES;
+        if (length < 0) {
+            throw new PgFault(PgFault.PROTOCOL, "a message has a negative length");
+        }
+        if (length > longest) {
+            throw new PgFault(PgFault.TOO_LARGE, "a message has " + length + " bytes, " + longest + " are allowed");
+        }
+        int body = from + head + LENGTH_BYTES;
+        if (to - body < length) {
+            return null;
+        }
+        char type = startup ? Frame.STARTUP : (char) (bytes[from] & 0xff);
+        from = body + length;
+        Frame frame = new Frame(type, Arrays.copyOfRange(bytes, body, from));
+        if (from == to) {
+            from = 0;
+            to = 0;
+        }
+        return frame;
+    }
+
+    /** What follows is typed: the start-up is over. */
+    public void started() {
+        startup = false;
+    }
+
+    /** Whether part of a message has come. */
+    public boolean midway() {
+        return from < to;
+    }
+}
--- /dev/null
+++ b/src/main/java/ironwind/start/DeploymentReader.java
@@ -0,0 +1,87 @@
+package ironwind.start;
+
+import ironwind.model.Customer;
+import ironwind.model.Deployment;
+import ironwind.model.Deployment.HostChecks;
+import ironwind.model.Effect;
+import ironwind.model.Freshness;
+import ironwind.model.Method;
+import ironwind.model.Moment;
+import ironwind.model.Span;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+
+/** Reads the settings that a router is started with, from either door, into the deployment's facts. */
+public final class DeploymentReader {
+    private static final Map<String, Effect> EFFECTS = Map.of(
+            "retryable", Effect.IDEMPOTENT, "dedup", Effect.TOKENED, "fragile", Effect.NON_IDEMPOTENT);
+    private static final Map<String, Freshness> LEVELS = Map.of(
+            "update", Freshness.WRITE, "latest", Freshness.FRESH, "own_writes", Freshness.SESSION,
+            "recent", Freshness.BOUNDED, "loose", Freshness.ANY);
+    private static final Map<String, HostChecks> CHECKS = Map.of(
+            "off", HostChecks.NONE, "reject", HostChecks.REFUSE, "hold", HostChecks.REFUSE);
+
+    private DeploymentReader() {
+    }
+
+    public static Deployment read(NamedValues from) {
+        String[] levels = split(from.text("extra.read_level"));
+        String[] bounds = split(from.text("extra.lag_allowed_us"));
+        List<Method> methods = new ArrayList<>();
+        int count = from.needSmall("lanes.count");
+        for (int i = 0; i < count; i++) {
+            String at = "lanes." + i + ".";
+            long deadline = from.needWhole(at + "deadline_us");
+            long goal = from.whole(at + "goal_time_us", deadline);
+            double worth = from.number(at + "worth", 1);
+            String scope = from.text(at + "key_scope");
+            methods.add(new Method(i,
+                    pick(from, at + "effect", EFFECTS, from.need(at + "effect")),
+                    i < levels.length ? pick(from, "extra.read_level", LEVELS, levels[i]) : Freshness.ANY,
+                    new Span(i < bounds.length ? from.parseWhole("extra.lag_allowed_us", bounds[i]) : 0),
+                    new Span(goal), new Span(deadline), worth, worth * from.number(at + "late_worth", 0),
+                    "all".equals(scope), new Span(from.whole(at + "window_us", 0))));
+        }
+        List<Customer> customers = new ArrayList<>();
+        for (int i = 0; i < from.small("tenants.count", 0); i++) {
+            customers.add(new Customer(i, from.number("tenants." + i + ".quota_per_s", 0)));
+        }
+        String via = from.text("reporting.via");
+        boolean reports = via != null && !via.equals("off");
+        String fields = from.text("reporting.fields");
+        String checks = from.text("extra.when_behind");
+        return new Deployment(methods, customers,
+                Math.max(1, from.small("peers_total", 1)),
+                new Span(from.whole("period_us", 0)),
+                checks == null ? HostChecks.NONE : pick(from, "extra.when_behind", CHECKS, checks),
+                from.flag("caps.may_probe"),
+                reports && List.of(split(fields)).contains("x0"),
+                "router".equals(from.text("extra.token_mode")),
+                from.flag("caps.cancel"),
+                from.flag("caps.parallel_tries"),
+                from.small("caps.most_tries", 1),
+                from.flag("caps.retry_after"),
+                new Span(from.whole("caps.max_retry_after_us", 0)),
+                from.number("prices.probe", 0),
+                from.number("over_share_worth", 1),
+                new Moment(from.whole("extra.zero_us", 0)),
+                from.flag("rules.soft_removal"),
+                from.number("rules.cold_from", 1),
+                new Span(from.whole("rules.warm_after_us", 0)),
+                from.number("rules.fall_multiple", 1),
+                new Span(from.whole("rules.fall_us", 0)));
+    }
+
+    private static String[] split(String list) {
+        return list == null || list.isEmpty() ? new String[0] : list.split(",", -1);
+    }
+
+    private static <T> T pick(NamedValues from, String key, Map<String, T> words, String word) {
+        T value = words.get(word);
+        if (value == null) {
+            throw from.fault(key, "has an unknown word: " + word);
+        }
+        return value;
+    }
+}
--- /dev/null
+++ b/src/main/java/ironwind/start/Names.java
@@ -0,0 +1,29 @@
+package ironwind.start;
+
+import ironwind.model.Customer;
+import ironwind.model.Deployment;
+import ironwind.model.Method;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+
+/** What the deployment's things are called on the wire. The decision module never sees these names. */
+public record Names(Map<String, Method> methods, Map<String, Customer> customers, List<String> zones,
+        List<String> kinds) {
+
+    static Names read(NamedValues from, Deployment deployment) {
+        Map<String, Method> methods = new HashMap<>();
+        for (Method method : deployment.methods()) {
+            methods.put(from.need("lanes." + method.index() + ".name"), method);
+        }
+        Map<String, Customer> customers = new HashMap<>();
+        for (Customer customer : deployment.customers()) {
+            customers.put(from.need("tenants." + customer.index() + ".name"), customer);
+        }
+        return new Names(methods, customers, list(from.text("zones")), list(from.text("kinds")));
+    }
+
+    private static List<String> list(String joined) {
+        return joined == null || joined.isEmpty() ? List.of() : List.of(joined.split(",", -1));
+    }
+}
