--- a/src/main/java/ironwind/Logic.java
+++ b/src/main/java/ironwind/Logic.java
@@ -464,10 +464,8 @@
 
     /** Our part of the few call-outs a host that any host can work on without delay. */
     private double leastOf(Room pool, Group group) {
-        int count = 0;
-        for (Host host : group.members) {
-            count += sendable(host) && !host.suspect && poolOf(host) == pool ? 1 : 0;
-        }
+        long count = group.members.stream()
+                .filter(host -> sendable(host) && !host.suspect && poolOf(host) == pool).count();
         return LEAST_A_HOST * Math.max(1, count) / deployment.routers();
     }
 
@@ -819,25 +817,23 @@
     /** The five rules, for sends. Every send passes here and nowhere else. */
     private boolean gate(Rpc rpc, Host host) {
         return rpc.stage != Stage.OVER
-                && now.before(rpc.deadline)
                 && host.group == rpc.group
                 && rpc.callOuts.size() < deployment.mostCallOuts()
                 && (rpc.out == 0 || deployment.parallelCallOuts() && rpc.out < 2
                         && rpc.method.effect() == Effect.IDEMPOTENT && !triedAt(rpc, host))
-                && repeatable(rpc)
-                && bound(rpc, host)
+                && stillBound(rpc, host)
                 && coldLets(host);
     }
 
-    /** What the passing of time or news alone may undo between a send's gate and its last byte. */
-    private boolean bound(Rpc rpc, Host host) {
-        return sendable(host) && freshEnough(rpc, host);
+    /** What time or news alone may undo between a send's decision and its last byte. */
+    private boolean stillBound(Rpc rpc, Host host) {
+        return now.before(rpc.deadline) && repeatable(rpc) && sendable(host) && freshEnough(rpc, host);
     }
 
     @Override
     public boolean stillPasses(Moment time, CallOut callOut) {
         now = time;
-        return callOut.rpc.stage != Stage.OVER && bound(callOut.rpc, callOut.host);
+        return callOut.rpc.stage != Stage.OVER && stillBound(callOut.rpc, callOut.host);
     }
 
     /** Rule 2, for sends. An RPC never leaves its group, which is the scope within which marks are known. */
@@ -956,16 +952,10 @@
     }
 
     private void placeHeld() {
-        List<Rpc> round = new ArrayList<>(held);
-        held.clear();
-        round.sort(Comparator.comparingDouble((Rpc rpc) -> -worthNow(rpc))
+        held.sort(Comparator.comparingDouble((Rpc rpc) -> -worthNow(rpc))
                 .thenComparing(Comparator.comparing((Rpc rpc) -> rpc.arrived).reversed()));
-        for (Rpc rpc : round) {
-            step(rpc, Input.LOOK);
-            if (rpc.stage == Stage.HELD) {
-                held.add(rpc);
-            }
-        }
+        new ArrayList<>(held).forEach(rpc -> step(rpc, Input.LOOK));
+        held.removeIf(rpc -> rpc.stage != Stage.HELD);
     }
 
     private void fillBuckets() {
--- a/src/main/java/ironwind/net/ClientConnection.java
+++ b/src/main/java/ironwind/net/ClientConnection.java
@@ -9,16 +9,21 @@
 import ironwind.pg.Frames;
 import ironwind.pg.Pg;
 import ironwind.pg.PgFault;
+import ironwind.pg.Statement;
 import java.util.ArrayDeque;
 import java.util.Deque;
 
 /** One client's connection: its commands are taken as they come and answered in their order. */
 final class ClientConnection {
+    /** Commands of a client that are read ahead of the answer to the first: each may hold a value in memory. */
+    private static final int MOST_AHEAD = 16;
+
     private final NetSocket socket;
     private final Clients clients;
     private final Frames frames = new Frames(true, Pg.LARGEST_MESSAGE);
     private final Deque<Exchange> exchanges = new ArrayDeque<>();
     private boolean skipping;
+    private boolean paused;
     private boolean dismissed;
     private boolean closed;
 
@@ -26,6 +31,7 @@
         this.socket = socket;
         this.clients = clients;
         socket.handler(this::received);
+        socket.drainHandler(nothing -> pace());
         socket.closeHandler(nothing -> closed(Ending.CLIENT_LEFT));
         socket.exceptionHandler(fault -> closed(Ending.CLIENT_LEFT));
     }
@@ -36,6 +42,7 @@
             for (Frame frame = frames.next(); frame != null && !closed; frame = frames.next()) {
                 take(ClientMessage.decode(frame));
             }
+            pace();
         } catch (PgFault fault) {
             clients.malformed(fault);
             write(Encoder.fatal(new Failure(fault.code, fault.getMessage(), null)));
@@ -43,6 +50,19 @@
         }
     }
 
+    /** Reads no more while the client has too much ahead of its answers, or does not read those. */
+    private void pace() {
+        boolean enough = exchanges.size() >= MOST_AHEAD || socket.writeQueueFull();
+        if (!closed && enough != paused) {
+            paused = enough;
+            if (paused) {
+                socket.pause();
+            } else {
+                socket.resume();
+            }
+        }
+    }
+
     private void take(ClientMessage message) {
         if (message instanceof ClientMessage.Query query) {
             command(query.sql());
@@ -71,7 +91,7 @@
         }
     }
 
-    Exchange add(ironwind.pg.Statement statement) {
+    Exchange add(Statement statement) {
         Exchange exchange = new Exchange(this, statement);
         exchanges.add(exchange);
         return exchange;
@@ -82,6 +102,7 @@
         while (!exchanges.isEmpty() && exchanges.peek().answer() != null) {
             write(exchanges.poll().answer());
         }
+        pace();
         if (dismissed) {
             dismiss();
         }
--- a/src/main/java/ironwind/net/Counters.java
+++ b/src/main/java/ironwind/net/Counters.java
@@ -1,13 +1,15 @@
 package ironwind.net;
 
+import java.util.EnumMap;
 import java.util.LinkedHashMap;
+import java.util.Locale;
 import java.util.Map;
 import java.util.stream.Collectors;
 
 /** What the router took in, sent and answered since its start. */
 public final class Counters {
-    private final Map<Count, long[]> counts = new java.util.EnumMap<>(Count.class);
-    private final Map<Ending, long[]> endings = new java.util.EnumMap<>(Ending.class);
+    private final Map<Count, long[]> counts = new EnumMap<>(Count.class);
+    private final Map<Ending, long[]> endings = new EnumMap<>(Ending.class);
 
     /** What is counted beside the endings of connections and their uses. */
     public enum Count {
@@ -26,10 +28,10 @@
     public Map<String, Long> read() {
         Map<String, Long> all = new LinkedHashMap<>();
         for (Count count : Count.values()) {
-            all.put(count.name().toLowerCase(java.util.Locale.ROOT), counts.getOrDefault(count, new long[1])[0]);
+            all.put(count.name().toLowerCase(Locale.ROOT), counts.getOrDefault(count, new long[1])[0]);
         }
         endings.forEach((ending, count) ->
-                all.put("ended_" + ending.name().toLowerCase(java.util.Locale.ROOT), count[0]));
+                all.put("ended_" + ending.name().toLowerCase(Locale.ROOT), count[0]));
         return all;
     }
 
--- a/src/main/java/ironwind/net/Discovery.java
+++ b/src/main/java/ironwind/net/Discovery.java
@@ -4,8 +4,11 @@
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpClientAgent;
 import io.vertx.core.http.HttpClientOptions;
+import io.vertx.core.http.HttpClientResponse;
 import io.vertx.core.http.HttpMethod;
+import io.vertx.core.http.HttpResponseExpectation;
 import io.vertx.core.http.PoolOptions;
+import io.vertx.core.http.RequestOptions;
 import io.vertx.core.json.JsonArray;
 import io.vertx.core.json.JsonObject;
 import ironwind.model.Host.Listing;
@@ -71,10 +74,11 @@
         boolean watch = version >= 0;
         String uri = watch ? PATH + "?after=" + version + "&wait_ms=" + WAIT_MS : PATH;
         long patience = GRACE_MS + (watch ? WAIT_MS : 0);
-        client.request(HttpMethod.GET, address.port(), address.ip(), uri)
-                .compose(request -> request.send().expecting(response -> response.statusCode() == 200))
-                .compose(response -> response.body())
-                .timeout(patience, java.util.concurrent.TimeUnit.MILLISECONDS)
+        // A call that is silent for so long is cut, and its connection with it: the next one opens another.
+        client.request(new RequestOptions().setMethod(HttpMethod.GET).setHost(address.ip()).setPort(address.port())
+                        .setURI(uri).setConnectTimeout(GRACE_MS).setIdleTimeout(patience))
+                .compose(request -> request.send().expecting(HttpResponseExpectation.SC_OK))
+                .compose(HttpClientResponse::body)
                 .onSuccess(this::answered)
                 .onFailure(this::failed);
     }
--- a/src/main/java/ironwind/net/HostConnection.java
+++ b/src/main/java/ironwind/net/HostConnection.java
@@ -83,7 +83,7 @@
     }
 
     private boolean wasWritten() {
-        return written != null && !written.failed() && written.succeeded();
+        return written != null && written.succeeded();
     }
 
     private void received(Buffer buffer) {
@@ -106,7 +106,6 @@
     private void ready() {
         if (!up) {
             up = true;
-            pool.cameUp(this);
             word = new HostWord();
             if (use == null) {
                 pool.idle(this);
--- a/src/main/java/ironwind/net/HostConnections.java
+++ b/src/main/java/ironwind/net/HostConnections.java
@@ -99,10 +99,6 @@
         return open.size() < most;
     }
 
-    void cameUp(HostConnection connection) {
-        // Nothing to note yet: its use hears of it.
-    }
-
     void idle(HostConnection connection) {
         connection.idleSince = Clock.read();
         idle.computeIfAbsent(connection.hostId, id -> new ArrayDeque<>()).push(connection);
--- a/src/main/java/ironwind/net/Router.java
+++ b/src/main/java/ironwind/net/Router.java
@@ -39,6 +39,8 @@
     public Future<Void> start() {
         Promise<Void> started = Promise.promise();
         Context context = vertx.getOrCreateContext();
+        context.exceptionHandler(this::uncaught);
+        vertx.exceptionHandler(this::uncaught);
         context.runOnContext(nothing -> {
             int sockets = Math.max(2, facts.mostSockets() - OTHER_DESCRIPTORS);
             int forHosts = (int) (HOSTS_PART * sockets);
@@ -47,15 +49,16 @@
             discovery = new Discovery(vertx, facts, logic, hosts, counters, log);
             clients = new Clients(vertx, facts, sockets - forHosts, logic, counters, log);
             clients.listen().<Void>mapEmpty().onComplete(started);
-            discovery.start(facts.knownHosts(), this::ready);
-            vertx.setTimer(FIRST_LIST_MS, timer -> ready());
+            discovery.start(facts.knownHosts(), clients::ready);
+            vertx.setTimer(FIRST_LIST_MS, timer -> clients.ready());
         });
         return started.future().onSuccess(nothing ->
                 log.info("listening", "name", facts.name(), "address", facts.listen().ip() + ":" + clients.port()));
     }
 
-    private void ready() {
-        clients.ready();
+    private void uncaught(Throwable fault) {
+        counters.add(Counters.Count.FAULTS);
+        log.error("fault", fault);
     }
 
     /** Goes on serving while clients still come, asks them away between requests, and ends when none is left. */
