--- a/src/test/java/ironwind/LogicTest.java
+++ b/src/test/java/ironwind/LogicTest.java
@@ -2,6 +2,7 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import ironwind.model.CallOut;
 import ironwind.model.Deployment.HostChecks;
 import ironwind.model.Effect;
 import ironwind.model.Host;
@@ -394,4 +395,17 @@
         }
         assertThat(far).isLessThan(20);
     }
+
+    /** Guards against a connection that takes long to come up: what held at the decision must hold at the write. */
+    @ParameterizedTest(name = "method {0} at a replica {1} ms behind, written {2} ms later, {3}: {4}")
+    @CsvSource({
+        "3, 250, 10, ready, true", "3, 250, 100, ready, false", "4, 900, 100, ready, true", "4, 10, 10, draining, false",
+        "4, 10, 10, gone, false"})
+    void aSendIsAskedAboutAgainWhenItsConnectionIsUp(int method, long age, long later, String listing, boolean passes) {
+        Scene scene = positions(age, age);
+        Rpc rpc = scene.arrive(method);
+        CallOut callOut = rpc.callOuts.get(0);
+        scene.pass(later).list(false, callOut.host.id + ":" + listing);
+        assertThat(scene.logic.stillPasses(scene.now(), callOut)).isEqualTo(passes);
+    }
 }
--- /dev/null
+++ b/src/test/java/ironwind/net/RouterTest.java
@@ -0,0 +1,390 @@
+package ironwind.net;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import com.sun.net.httpserver.HttpServer;
+import io.vertx.core.Future;
+import io.vertx.core.json.JsonArray;
+import io.vertx.core.json.JsonObject;
+import ironwind.pg.Encoder;
+import ironwind.pg.Failure;
+import ironwind.pg.Frame;
+import ironwind.pg.Frames;
+import ironwind.pg.HostMessage;
+import ironwind.pg.Row;
+import ironwind.pg.Statement;
+import ironwind.start.StartFacts;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.PrintStream;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.HexFormat;
+import java.util.List;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** A router on loopback between clients, one group of hosts and discovery, all played from the public protocols. */
+@Timeout(30)
+class RouterTest {
+    private static final InetAddress LOOPBACK = InetAddress.getLoopbackAddress();
+    private static final String READ = "/* id=r%d,c=read,d=%d,cluster=2 */ SELECT val FROM state WHERE uid = 'k'";
+    private static final String WRITE = "/* id=r%d,c=write,d=%d,k=m,cluster=2 */ INSERT INTO state (uid) VALUES ('k')";
+    private static final byte[] VALUE = {0, (byte) 0xff, 'x', 0};
+    private static final JsonObject SETTINGS = new JsonObject("""
+        {"period_us": 5000, "peers_total": 1, "zones": ["north"], "kinds": ["plain"], "tenants": [],
+         "lanes": [{"name": "read", "effect": "retryable", "deadline_us": 2000000, "goal_time_us": 400000, "worth": 2.0},
+                   {"name": "write", "effect": "fragile", "deadline_us": 2000000, "goal_time_us": 400000, "worth": 6}],
+         "extra": {"read_level": ["loose", "update"], "when_behind": "off"},
+         "caps": {"cancel": true, "may_probe": true, "parallel_tries": true, "most_tries": 4, "retry_after": true,
+                  "max_retry_after_us": 250000, "connect_timeout_us": 250000, "idle_close_us": 30000000},
+         "rules": {"drain_grace_us": 500000}, "prices": {"probe": 0.01}}""");
+
+    private final ExecutorService threads = Executors.newCachedThreadPool();
+    private final ByteArrayOutputStream log = new ByteArrayOutputStream();
+    private final BlockingQueue<String> lists = new LinkedBlockingQueue<>();
+    private final List<AutoCloseable> opened = new ArrayList<>();
+    private StandInHost primary;
+    private StandInHost replica;
+    private HttpServer discovery;
+    private Router router;
+    private int asked;
+
+    @BeforeEach
+    void start() throws Exception {
+        primary = new StandInHost("primary");
+        replica = new StandInHost("replica");
+        discovery = HttpServer.create(new InetSocketAddress(LOOPBACK, 0), 0);
+        discovery.setExecutor(threads);
+        discovery.createContext("/registry/instances", exchange -> {
+            try {
+                byte[] body = lists.take().getBytes(StandardCharsets.UTF_8);
+                exchange.sendResponseHeaders(200, body.length);
+                exchange.getResponseBody().write(body);
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+            } finally {
+                exchange.close();
+            }
+        });
+        discovery.start();
+        router = new Router(StartFacts.read(new JsonObject().put("name", "n1").put("listen", "127.0.0.1:0")
+                .put("discovery", "127.0.0.1:" + discovery.getAddress().getPort()).put("seed", "8c1f30d27a5be964")
+                .put("limits", new JsonObject().put("sockets", 256)).put("settings", SETTINGS)
+                .put("known", new JsonObject().put("version", 1).put("full", true).put("servers", new JsonArray()))),
+                new Log(new PrintStream(log, true)));
+        router.start().await(10, TimeUnit.SECONDS);
+    }
+
+    @AfterEach
+    void stop() throws Exception {
+        router.stop().await(10, TimeUnit.SECONDS);
+        for (AutoCloseable each : opened) {
+            each.close();
+        }
+        discovery.stop(0);
+        threads.shutdownNow();
+    }
+
+    private String list() {
+        return new JsonObject().put("version", 2).put("full", true).put("servers", new JsonArray()
+                .add(primary.entry()).add(replica.entry())).encode();
+    }
+
+    /** A client of a router that has heard the list. */
+    private Wire client() throws IOException {
+        lists.add(list());
+        return admitted();
+    }
+
+    private Wire admitted() throws IOException {
+        Wire client = connect();
+        client.send(Encoder.startup("client", "core"), Encoder.query(""));
+        assertThat(client.answer()).isEqualTo("RSSSSZ");
+        assertThat(client.answer()).isEqualTo("IZ");
+        return client;
+    }
+
+    private Wire connect() throws IOException {
+        Wire wire = new Wire(new Socket(LOOPBACK, router.port()));
+        opened.add(wire);
+        return wire;
+    }
+
+    private byte[] ask(String form, long waits) {
+        return Encoder.query(form.formatted(asked++, waits));
+    }
+
+    /** What a host does with its first request stands before the slash, with later ones after it. */
+    @ParameterizedTest(name = "{0} where the primary does {1} and the replica {2}: {3}")
+    @CsvSource({
+        "read, row, row, TDCZ", "read, row, full/row, TDCZ", "read, row, error/row, TDCZ", "read, row, reset/row, TDCZ",
+        "read, row, close/row, TDCZ", "read, row, hang up, TDCZ", "read, row, mute, TDCZ",
+        "read, full, full, E53300 250", "write, row, row, TDCZ", "write, full/row, row, TDCZ",
+        "write, miss/row, row, TDCZ", "write, error/row, row, E40003", "write, reset/row, row, E40003",
+        "write, close/row, row, E40003", "write, garbage/row, row, E40003", "write, silent, row, E40003",
+        "write, full, miss, E53300 200", "write, hang up, miss, E53300 200", "write, mute, miss, E53300 200"})
+    void eachRpcGetsOneAnswerAndNoNonIdempotentOneRunsTwice(String method, String primarys, String replicas,
+            String answer) throws Exception {
+        primary.acts = primarys.split("/");
+        replica.acts = replicas.split("/");
+        Wire client = client();
+        client.send(ask(method.equals("read") ? READ : WRITE, 800), Encoder.query(""));
+        assertThat(client.answer()).isEqualTo(answer);
+        assertThat(client.answer()).isEqualTo("IZ");
+        assertThat(primary.mayHaveRun + replica.mayHaveRun).isLessThanOrEqualTo(method.equals("read") ? 4 : 1);
+        assertThat(log.toString()).doesNotContain("ERROR");
+    }
+
+    @Test
+    void valueAndStatementPassThroughAndTheTimeLeftIsTold() throws Exception {
+        Wire client = client();
+        client.send(ask(READ, 700));
+        assertThat(client.answer()).isEqualTo("TDCZ");
+        assertThat(client.lastData).endsWith(VALUE);
+        Statement sent = Statement.parse(replica.requests.take());
+        assertThat(sent.text()).isEqualTo("SELECT val FROM state WHERE uid = 'k'");
+        assertThat(sent.facts()).containsEntry("id", "r0").containsEntry("cluster", "2");
+        assertThat(sent.needWhole("d")).isBetween(1L, 700L);
+    }
+
+    @Test
+    void oneConnectionCarriesManyRequestsAndAnswersComeInOrder() throws Exception {
+        Wire client = client();
+        for (int i = 0; i < 3; i++) {
+            client.send(ask(READ, 900));
+            assertThat(client.answer()).isEqualTo("TDCZ");
+        }
+        assertThat(replica.connections).isEqualTo(1);
+        client.send(ask(READ, 900), Encoder.query("SHOW stats"), Encoder.query("nonsense"));
+        assertThat(List.of(client.answer(), client.answer(), client.answer())).containsExactly("TDCZ", "TDCZ", "E0A000");
+        assertThat(new String(client.lastData, StandardCharsets.UTF_8)).contains("rpcs=4");
+    }
+
+    /** Guards against one client's bad bytes taking others along. */
+    @ParameterizedTest(name = "{0}: {1}")
+    @CsvSource({"5100000003, E08P01 closed", "5101000000, E54000 closed", "3f00000004, E08P01 closed",
+        "50000000045300000004, E0A000", "51000000062000, IZ", "510000000a2f2a20613d00, E42601"})
+    void malformedInputEndsInAnErrorForThatClientAlone(String hex, String answer) throws Exception {
+        Wire other = client();
+        Wire bad = connect();
+        bad.send(Encoder.startup("client", "core"));
+        assertThat(bad.answer()).isEqualTo("RSSSSZ");
+        bad.send(HexFormat.of().parseHex(hex));
+        assertThat(bad.answer()).isEqualTo(answer);
+        other.send(ask(READ, 900));
+        assertThat(other.answer()).isEqualTo("TDCZ");
+    }
+
+    @Test
+    void aClientThatLeavesCallsItsRpcOff() throws Exception {
+        primary.acts = new String[] {"silent"};
+        replica.acts = new String[] {"silent"};
+        Wire client = client();
+        client.send(ask(READ, 900));
+        assertThat(replica.requests.take()).contains("id=r0");
+        client.close();
+        assertThat(replica.ends.take()).isEqualTo("closed by the router");
+    }
+
+    @Test
+    void drainingServesWhatCameAndClosesBetweenRequests() throws Exception {
+        replica.acts = new String[] {"wait"};
+        Wire busy = client();
+        Wire idle = admitted();
+        busy.send(ask(READ, 2_000));
+        replica.requests.take();
+        Future<Void> drained = router.drain();
+        assertThat(idle.answer()).isEqualTo(" closed");
+        assertThat(drained.isComplete()).isFalse();
+        replica.released.countDown();
+        assertThat(busy.answer()).isEqualTo("TDCZ");
+        assertThat(busy.answer()).isEqualTo(" closed");
+        drained.await(10, TimeUnit.SECONDS);
+    }
+
+    /** Guards against an answer of discovery that stops the router from asking again. */
+    @ParameterizedTest
+    @ValueSource(strings = {"nonsense", "{}", "{\"version\":7,\"servers\":[{\"id\":\"x\"}]}"})
+    void discoveryIsAskedAgainAfterAMalformedAnswer(String malformed) throws Exception {
+        lists.add(malformed);
+        Wire client = client();
+        client.send(ask(READ, 900));
+        assertThat(client.answer()).isEqualTo("TDCZ");
+        assertThat(log.toString()).containsOnlyOnce("discovery_failed").containsOnlyOnce("discovery_back");
+    }
+
+    /** One end of a connection, read message by message. */
+    private static final class Wire implements AutoCloseable {
+        private final Socket socket;
+        private final Frames frames = new Frames(false, 1 << 20);
+        private byte[] lastData;
+
+        Wire(Socket socket) {
+            this.socket = socket;
+        }
+
+        void send(byte[]... messages) throws IOException {
+            for (byte[] message : messages) {
+                socket.getOutputStream().write(message);
+            }
+        }
+
+        /** The next message, or null at the end. */
+        Frame next() throws IOException {
+            byte[] buffer = new byte[4_096];
+            for (Frame frame = frames.next(); ; frame = frames.next()) {
+                if (frame != null) {
+                    return frame;
+                }
+                int read = socket.getInputStream().read(buffer);
+                if (read < 0) {
+                    return null;
+                }
+                frames.add(Arrays.copyOf(buffer, read));
+            }
+        }
+
+        /** The letters of the messages up to ReadyForQuery, or an error's code and detail. */
+        String answer() throws IOException {
+            StringBuilder letters = new StringBuilder();
+            String error = null;
+            for (Frame frame = next(); ; frame = next()) {
+                if (frame == null) {
+                    return (error == null ? letters : error) + " closed";
+                }
+                letters.append(frame.type());
+                if (frame.type() == 'D') {
+                    lastData = frame.body();
+                } else if (HostMessage.decode(frame) instanceof HostMessage.Failed failed) {
+                    String detail = failed.failure().detail();
+                    error = "E" + failed.failure().code() + (detail == null ? "" : " " + detail);
+                } else if (frame.type() == 'Z') {
+                    return error == null ? letters.toString() : error;
+                }
+            }
+        }
+
+        @Override
+        public void close() throws IOException {
+            socket.close();
+        }
+    }
+
+    /** A host that does as it is told, request by request. */
+    private final class StandInHost {
+        private final ServerSocket server = new ServerSocket(0, 50, LOOPBACK);
+        private final String role;
+        private final BlockingQueue<String> requests = new LinkedBlockingQueue<>();
+        private final BlockingQueue<String> ends = new LinkedBlockingQueue<>();
+        private final CountDownLatch released = new CountDownLatch(1);
+        private volatile String[] acts = {"row"};
+        private volatile int connections;
+        private volatile int mayHaveRun;
+        private int done;
+
+        StandInHost(String role) throws IOException {
+            this.role = role;
+            opened.add(server);
+            threads.submit(() -> {
+                while (!server.isClosed()) {
+                    Socket socket = server.accept();
+                    connections++;
+                    threads.submit(() -> serve(socket));
+                }
+                return null;
+            });
+        }
+
+        JsonObject entry() {
+            return new JsonObject().put("id", role).put("addr", "127.0.0.1:" + server.getLocalPort()).put("zone", "north")
+                    .put("kind", "plain").put("cell", 2).put("state", "Ready").put("weight", 1.0).put("started_ms", 0)
+                    .put("role", role);
+        }
+
+        private synchronized String act(boolean next) {
+            String act = acts[Math.min(done, acts.length - 1)];
+            done += next ? 1 : 0;
+            return act;
+        }
+
+        private Void serve(Socket socket) throws Exception {
+            try (socket) {
+                Wire wire = new Wire(socket);
+                socket.getInputStream().readNBytes(Encoder.startup("client", "core").length);
+                if (act(false).equals("hang up")) {
+                    return null;
+                }
+                if (!act(false).equals("mute")) {
+                    wire.send(Encoder.welcome());
+                }
+                for (Frame frame = wire.next(); frame != null; frame = wire.next()) {
+                    String sql = new String(frame.body(), 0, frame.body().length - 1, StandardCharsets.ISO_8859_1);
+                    if (frame.type() != 'Q' || !answered(wire, sql)) {
+                        return null;
+                    }
+                }
+                ends.add("closed by the router");
+            }
+            return null;
+        }
+
+        /** Whether the connection stays open. */
+        private boolean answered(Wire wire, String sql) throws Exception {
+            if (sql.startsWith("SELECT 1")) {
+                wire.send(Encoder.row(Row.ofText("one", "1")));
+                return true;
+            }
+            String act = act(true);
+            mayHaveRun += List.of("full", "miss").contains(act) ? 0 : 1;
+            requests.add(sql);
+            switch (act) {
+                case "row" -> row(wire);
+                case "wait" -> {
+                    released.await();
+                    row(wire);
+                }
+                case "full" -> wire.send(Encoder.failure(new Failure("53300", "full", null)));
+                case "miss" -> wire.send(Encoder.failure(new Failure("25006", "no primary", null)));
+                case "error" -> wire.send(Encoder.failure(new Failure("XX000", "broken", null)));
+                case "garbage" -> wire.send("what is this?".getBytes(StandardCharsets.UTF_8));
+                case "reset" -> wire.socket.setSoLinger(true, 0);
+                default -> { }
+            }
+            return !List.of("reset", "close").contains(act);
+        }
+
+        private void row(Wire wire) throws IOException {
+            byte[] whole = Encoder.row(new Row(Row.ofText("val", "").description(), data(), "SELECT 1"));
+            int ready = whole.length - Encoder.ready().length;
+            wire.send(Arrays.copyOf(whole, ready), parameter("role", role),
+                    parameter("applied_ms", Long.toString(System.currentTimeMillis())), Encoder.ready());
+        }
+
+        private byte[] data() {
+            return ByteBuffer.allocate(6 + VALUE.length).putShort((short) 1).putInt(VALUE.length).put(VALUE).array();
+        }
+
+        private byte[] parameter(String name, String value) {
+            byte[] text = (name + "\0" + value + "\0").getBytes(StandardCharsets.UTF_8);
+            return ByteBuffer.allocate(5 + text.length).put((byte) 'S').putInt(4 + text.length).put(text).array();
+        }
+    }
+}
