RPCs that no host has seen are given back before half of the client's time is over

At fault: Logic.place, which measured the hold by the soft deadline alone and not by the client's own time. Ruled out: time lost in the door (90 us to the first call-out, 64 us back, in the median), restarts, late runs. Should also help any client with less patience than the method's deadline; harm: where such a client never comes back, up to half of its time is not waited for.

--- a/src/main/java/ironwind/Logic.java
+++ b/src/main/java/ironwind/Logic.java
@@ -90,6 +90,8 @@
     private static final double LEAST_USE = 0.5;
     /** An RPC of which less is left when late is not held past its soft deadline: failing late costs more. */
     private static final double LATE_HOLD = 0.4;
+    /** What no host has seen is given back before so much of the client's time is over: it may try again. */
+    private static final double UNSEEN_HOLD = 0.5;
     /** Cold budgets: the part of the allowance used, and all routers' sends always allowed in a window. */
     private static final double COLD_MARGIN = 0.85;
     private static final double COLD_FLOOR = 3;
@@ -304,8 +306,7 @@
             if (host.refused && newsProbes.take()) {
                 probe(host);
             }
-        }
-        if (outcome == Outcome.EXPIRED) {
+        } else if (outcome == Outcome.EXPIRED) {
             strained(callOut, took.over(rpc.method.softDeadline()));
         }
         leave(callOut, took);
@@ -666,13 +667,15 @@
             return;
         }
         Method method = rpc.method;
-        Moment lastCall = rpc.deadline.minus(deployment.tick().times(2));
         Span mean = new Span((long) meanUs[method.index()]);
-        Span toSpare = mean.shorter(method.softDeadline().times(LEAST_USE));
-        Moment lastUse = rpc.arrived.plus(method.softDeadline()).minus(toSpare);
-        boolean useless = method.lateUtility() < LATE_HOLD * method.utility() && !now.before(lastUse);
+        Span use = method.softDeadline().minus(mean.shorter(method.softDeadline().times(LEAST_USE)));
+        Span early = rpc.deadline.since(rpc.arrived).times(UNSEEN_HOLD).minus(LOOK_EVERY.times(2));
+        Span most = rpc.callOuts.isEmpty() ? use.shorter(early) : use;
+        boolean useless = method.lateUtility() < LATE_HOLD * method.utility()
+                && !now.since(rpc.arrived).shorterThan(most);
         boolean shed = rpc.overShare && now.since(rpc.arrived).over(method.softDeadline()) > SHED_OVER_SHARE;
-        if (!now.before(lastCall) || useless || shed && mayPushBack(rpc)) {
+        boolean lastCall = !now.before(rpc.deadline.minus(deployment.tick().times(2)));
+        if (lastCall || useless || shed && mayPushBack(rpc)) {
             step(rpc, Input.HOPELESS);
         }
     }
@@ -944,8 +947,7 @@
             placeHeld();
         }
         stirred = false;
-        boolean busy = !held.isEmpty() || !working.isEmpty();
-        if (busy && !wakeAsked.after(now)) {
+        if ((!held.isEmpty() || !working.isEmpty()) && !wakeAsked.after(now)) {
             wakeAsked = nextLook.after(now) ? nextLook : now.plus(LOOK_EVERY);
             outbound.wakeAt(wakeAsked);
         }
--- a/src/main/java/ironwind/net/Router.java
+++ b/src/main/java/ironwind/net/Router.java
@@ -23,6 +23,7 @@
     private final Log log;
     private final Counters counters = new Counters();
     private final Vertx vertx;
+    private final Context context;
     private Clients clients;
     private HostConnections hosts;
     private Discovery discovery;
@@ -33,12 +34,12 @@
         this.vertx = Vertx.vertx(new VertxOptions().setEventLoopPoolSize(1).setWorkerPoolSize(1)
                 .setInternalBlockingPoolSize(1).setFileSystemOptions(new FileSystemOptions()
                         .setFileCachingEnabled(false).setClassPathResolvingEnabled(false)));
+        this.context = vertx.getOrCreateContext();
     }
 
     /** Begins to listen; the future fails where the address can't be had. */
     public Future<Void> start() {
         Promise<Void> started = Promise.promise();
-        Context context = vertx.getOrCreateContext();
         context.exceptionHandler(this::uncaught);
         vertx.exceptionHandler(this::uncaught);
         context.runOnContext(nothing -> {
@@ -65,10 +66,19 @@
     public Future<Void> drain() {
         Promise<Void> gone = Promise.promise();
         log.info("draining");
-        vertx.setTimer(LAST_ARRIVALS_MS, timer -> clients.dismissAll(() -> gone.tryComplete()));
+        context.runOnContext(nothing -> {
+            vertx.setTimer(LAST_ARRIVALS_MS, timer -> clients.dismissAll(gone::tryComplete));
+            vertx.setTimer(LAST_ARRIVALS_MS + longestDeadline(), timer -> gone.tryComplete());
+        });
         return gone.future();
     }
 
+    /** By then all that came before the last arrivals is answered. */
+    private long longestDeadline() {
+        return facts.deployment().methods().stream().mapToLong(method -> method.deadline().us() / 1_000).max()
+                .orElse(0);
+    }
+
     /** Ends at once. */
     public Future<Void> stop() {
         log.info("stopped", "counters", counters);
--- a/src/test/java/ironwind/LogicTest.java
+++ b/src/test/java/ironwind/LogicTest.java
@@ -408,4 +408,16 @@
         scene.pass(later).list(false, callOut.host.id + ":" + listing);
         assertThat(scene.logic.stillPasses(scene.now(), callOut)).isEqualTo(passes);
     }
+
+    /** Guards against a client that repeats, with little time left, being held until it is too late to try again. */
+    @ParameterizedTest(name = "waits {0} ms: given back between {1} and {2} ms")
+    @CsvSource({"200, 60, 95", "400, 160, 195", "2000, 240, 460"})
+    void whatNoHostHasSeenIsGivenBackBeforeHalfOfTheClientsTime(long waits, long least, long most) {
+        Scene scene = new Scene(HostChecks.NONE, true, Effect.NON_IDEMPOTENT, 2).list(true, "a:draining", "b:draining");
+        Rpc rpc = scene.arrive(Scene.BOUNDED, 0, waits);
+        scene.pass(least);
+        assertThat(rpc.stage).isEqualTo(Stage.HELD);
+        scene.pass(most - least);
+        assertThat(scene.asked).contains("push back " + rpc.id);
+    }
 }
--- a/src/test/java/ironwind/Scene.java
+++ b/src/test/java/ironwind/Scene.java
@@ -90,9 +90,13 @@
     }
 
     Rpc arrive(int method, long tokenAge) {
+        return arrive(method, tokenAge, 2_000);
+    }
+
+    Rpc arrive(int method, long tokenAge, long waits) {
         Moment token = tokenAge == 0 ? Moment.NEVER : now().minus(Span.ofMillis(tokenAge));
         Rpc rpc = new Rpc("r" + count++, deployment.methods().get(method), deployment.customers().get(0),
-                logic.group(1), "s", now(), now().plus(Span.ofMillis(2_000)), token, false);
+                logic.group(1), "s", now(), now().plus(Span.ofMillis(waits)), token, false);
         logic.arrived(now(), rpc);
         logic.settle(now());
         return rpc;
