LogicTask split by job; an RPC left without its answer by a defect is aborted and logged

Sending, Probe and Timers have files of their own; a read buffer that grew for a large value shrinks.

--- a/src/main/java/ironwind/adapter/Adapter.java
+++ b/src/main/java/ironwind/adapter/Adapter.java
@@ -1,5 +1,6 @@
 package ironwind.adapter;
 
+import ironwind.model.Deployment;
 import ironwind.model.Host;
 import ironwind.model.Moment;
 import ironwind.model.RosterEntry;
@@ -77,7 +78,8 @@
             case "SPAWN" -> {
                 int number = line.needSmall("router");
                 touched.remove(doors.remove(number));
-                doors.put(number, new RouterDoor(number, line.needWhole("entropy"), DeploymentReader.read(line), reply));
+                Deployment deployment = DeploymentReader.read(line);
+                doors.put(number, new RouterDoor(number, line.needWhole("entropy"), deployment, reply));
                 touch(line);
             }
             case "DOWN" -> touched.remove(doors.remove(line.needSmall("router")));
--- a/src/main/java/ironwind/net/ClientConnection.java
+++ b/src/main/java/ironwind/net/ClientConnection.java
@@ -99,8 +99,8 @@
 
     /** Passes on what is answered, in the order of the commands. */
     void flush() {
-        while (!exchanges.isEmpty() && exchanges.peek().answer() != null) {
-            write(exchanges.poll().answer());
+        while (!exchanges.isEmpty() && exchanges.peek().isAnswered()) {
+            write(exchanges.poll().takeAnswer());
         }
         pace();
         if (dismissed) {
--- a/src/main/java/ironwind/net/Discovery.java
+++ b/src/main/java/ironwind/net/Discovery.java
@@ -134,11 +134,11 @@
             case "Gone" -> Listing.GONE;
             default -> throw new IllegalArgumentException("unknown state " + state);
         };
-        long started = server.getLong("started_ms", 0L);
+        long startedMs = server.getLong("started_ms", 0L);
+        Moment started = startedMs == 0 ? Moment.NEVER : new Moment(0).plus(Span.ofMillis(startedMs));
         return new RosterEntry(server.getString("id"), index(names.zones(), server.getString("zone")),
                 index(names.kinds(), server.getString("kind")), server.getInteger("cell", 0), listing,
-                server.getDouble("weight", 1.0), started == 0 ? Moment.NEVER : new Moment(0).plus(Span.ofMillis(started)),
-                PRIMARY.equals(server.getString("role")));
+                server.getDouble("weight", 1.0), started, PRIMARY.equals(server.getString("role")));
     }
 
     /** Names that the settings don't have share the last number. */
--- a/src/main/java/ironwind/net/Exchange.java
+++ b/src/main/java/ironwind/net/Exchange.java
@@ -9,6 +9,7 @@
     /** What was asked; null where no RPC came of it. */
     final Statement statement;
     Rpc rpc;
+    private boolean answered;
     private byte[] answer;
 
     Exchange(ClientConnection client, Statement statement) {
@@ -18,15 +19,23 @@
 
     /** Takes the one answer; true if it is the first. */
     boolean answer(byte[] bytes) {
-        boolean first = answer == null;
-        if (first) {
-            answer = bytes;
-            client.flush();
+        if (answered) {
+            return false;
         }
-        return first;
+        answered = true;
+        answer = bytes;
+        client.flush();
+        return true;
     }
 
-    byte[] answer() {
-        return answer;
+    boolean isAnswered() {
+        return answered;
+    }
+
+    /** Hands the answer over, and keeps it no longer. */
+    byte[] takeAnswer() {
+        byte[] bytes = answer;
+        answer = null;
+        return bytes;
     }
 }
--- a/src/main/java/ironwind/net/HostConnection.java
+++ b/src/main/java/ironwind/net/HostConnection.java
@@ -30,7 +30,7 @@
     /** One use of a connection: a request and its answer. */
     interface Use {
         /** The connection is up: time to {@link #write} the request, or to {@link #leave}. */
-        void up(HostConnection connection);
+        void up();
 
         /** Called once, unless the use was given up by its owner. */
         void ended(Ending ending, HostWord word);
@@ -110,7 +110,7 @@
             if (use == null) {
                 pool.idle(this);
             } else {
-                use.up(this);
+                use.up();
             }
         } else if (use != null && written != null) {
             Use done = use;
--- a/src/main/java/ironwind/net/HostConnections.java
+++ b/src/main/java/ironwind/net/HostConnections.java
@@ -42,12 +42,8 @@
         this.most = most;
         this.counters = counters;
         this.log = log;
-        this.client = vertx.createNetClient(new NetClientOptions().setConnectTimeout(millis(connectTime)));
-        vertx.setPeriodic(millis(connectTime), timer -> closeStale());
-    }
-
-    static int millis(Span span) {
-        return (int) Math.max(1, (span.us() + 999) / 1_000);
+        this.client = vertx.createNetClient(new NetClientOptions().setConnectTimeout(Timers.millis(connectTime)));
+        vertx.setPeriodic(Timers.millis(connectTime), timer -> closeStale());
     }
 
     /** Where a host listens; what is open to an address it had before is closed. */
@@ -68,13 +64,13 @@
         }
         Address address = addresses.get(hostId);
         if (address == null || !roomForOne()) {
-            log.warn("no_socket", "host", hostId, "open", open.size());
+            log.warn("no_socket", "host", hostId, "address", address, "open", open.size(), "most", most);
             return null;
         }
         HostConnection connection = new HostConnection(hostId, this, use);
         open.add(connection);
         counters.add(Count.HOST_CONNECTIONS);
-        vertx.setTimer(millis(connectTime), timer -> connection.failed(Ending.NEVER_UP));
+        vertx.setTimer(Timers.millis(connectTime), timer -> connection.failed(Ending.NEVER_UP));
         client.connect(SocketAddress.inetSocketAddress(address.port(), address.ip())).onComplete(result -> {
             if (result.succeeded()) {
                 connection.opened(result.result());
--- a/src/main/java/ironwind/net/LogicTask.java
+++ b/src/main/java/ironwind/net/LogicTask.java
@@ -1,7 +1,6 @@
 package ironwind.net;
 
 import io.vertx.core.Context;
-import io.vertx.core.Vertx;
 import ironwind.Logic;
 import ironwind.model.CallOut;
 import ironwind.model.Customer;
@@ -35,15 +34,14 @@
 final class LogicTask implements Outbound {
     private static final Failure PUSHED_BACK = new Failure(Failure.TOO_MANY, "pushed back: try again later", null);
     private static final Failure ABORTED = new Failure("40003", "aborted: it may or may not have run", null);
-    private static final String PROBE = "SELECT 1";
-    private static final String PROBE_FOR_REPORT = "SHOW load";
 
-    private final Vertx vertx;
     private final Context context;
+    private final Timers timers;
     private final Deployment deployment;
     private final Inbound logic;
     private final HostConnections hosts;
     private final Span probeTime;
+    private final Span answerSlack;
     private final Counters counters;
     private final Log log;
     private final Queue<Event> queue = new ConcurrentLinkedQueue<>();
@@ -61,13 +59,14 @@
     private record Event(Exchange concerned, Consumer<Moment> act) {
     }
 
-    LogicTask(Vertx vertx, Context context, StartFacts facts, HostConnections hosts, Counters counters, Log log) {
-        this.vertx = vertx;
+    LogicTask(Context context, Timers timers, StartFacts facts, HostConnections hosts, Counters counters, Log log) {
         this.context = context;
+        this.timers = timers;
         this.deployment = facts.deployment();
         this.logic = new Logic(deployment, facts.seed(), this);
         this.hosts = hosts;
         this.probeTime = facts.connectTime();
+        this.answerSlack = facts.answerSlack();
         this.counters = counters;
         this.log = log;
     }
@@ -116,14 +115,23 @@
         counters.add(Count.RPCS);
         put(exchange, time -> {
             Rpc rpc = new Rpc(asked.id, asked.method, asked.customer, logic.group(asked.group), asked.session, time,
-                    time.plus(Span.ofMillis(asked.waits)), asked.after <= 0 ? Moment.NEVER : new Moment(asked.after * 1_000),
-                    asked.repeat);
+                    time.plus(Span.ofMillis(asked.waits)),
+                    asked.after <= 0 ? Moment.NEVER : new Moment(0).plus(Span.ofMillis(asked.after)), asked.repeat);
             exchange.rpc = rpc;
             exchanges.put(rpc, exchange);
+            timers.after(rpc.deadline.plus(answerSlack).since(time), () -> put(exchange, due -> overdue(due, exchange)));
             logic.arrived(time, rpc);
         });
     }
 
+    /** Guards against a defect that leaves an RPC without its answer: the module always answers before this. */
+    private void overdue(Moment time, Exchange exchange) {
+        logic.settle(time);
+        if (exchange.rpc.stage != Rpc.Stage.OVER) {
+            throw new IllegalStateException("no answer by the deadline of " + exchange.rpc.id);
+        }
+    }
+
     void left(Exchange exchange) {
         put(null, time -> {
             if (exchange.rpc != null && exchange.rpc.stage != Rpc.Stage.OVER) {
@@ -136,62 +144,26 @@
 
     // ---- what the module asks for
 
-    /** One call-out on its way. */
-    private final class Sending implements HostConnection.Use {
-        private final CallOut callOut;
-        private HostConnection connection;
-        private long timer;
-        private boolean over;
-
-        Sending(CallOut callOut, Span limit) {
-            this.callOut = callOut;
-            Moment until = limit.us() > 0 ? callOut.rpc.deadline.earlier(now.plus(limit)) : callOut.rpc.deadline;
-            timer = vertx.setTimer(HostConnections.millis(until.since(now)), id -> giveUp(Ending.TIMED_OUT));
-        }
-
-        void begin() {
-            connection = hosts.open(callOut.host.id, this);
-            if (connection == null) {
-                ended(Ending.NO_SOCKET, null);
-            } else if (connection.isUp()) {
-                write();
-            }
-        }
-
-        @Override
-        public void up(HostConnection opened) {
-            put(exchanges.get(callOut.rpc), time -> {
-                if (over) {
-                    return;
-                }
-                if (logic.stillPasses(time, callOut)) {
-                    write();
+    /** The connection of a sending has come up: it is written if the module still stands by it. */
+    void up(Sending sending) {
+        put(sending.exchange, time -> {
+            if (!sending.isOver()) {
+                if (logic.stillPasses(time, sending.callOut)) {
+                    sending.write(time);
                 } else {
-                    opened.leave();
-                    ended(Ending.LAPSED, null);
+                    sending.leave();
                 }
-            });
-        }
-
-        private void write() {
-            long left = callOut.rpc.deadline.since(now).us() / 1_000;
-            connection.write(Encoder.query(exchanges.get(callOut.rpc).statement.waitingFor(Math.max(1, left))));
-        }
-
-        void giveUp(Ending ending) {
-            if (!over) {
-                boolean mayHaveRun = connection.giveUp();
-                ended(mayHaveRun ? ending : Ending.LAPSED, null);
             }
-        }
+        });
+    }
 
-        @Override
-        public void ended(Ending ending, HostWord word) {
-            over = true;
-            vertx.cancelTimer(timer);
-            counters.add(ending);
-            put(exchanges.get(callOut.rpc), time -> close(time, callOut, ending, word));
-        }
+    void ended(Sending sending, Ending ending, HostWord word) {
+        counters.add(ending);
+        put(sending.exchange, time -> close(time, sending.callOut, ending, word));
+    }
+
+    void probed(Host host, boolean answered, Role role, Moment position) {
+        put(null, time -> logic.probed(time, host, answered, role, position));
     }
 
     private void close(Moment time, CallOut callOut, Ending ending, HostWord word) {
@@ -211,9 +183,10 @@
     @Override
     public void send(CallOut callOut, Span limit) {
         counters.add(Count.CALL_OUTS);
-        Sending sending = new Sending(callOut, limit);
+        Moment until = limit.us() > 0 ? callOut.rpc.deadline.earlier(now.plus(limit)) : callOut.rpc.deadline;
+        Sending sending = new Sending(this, callOut, exchanges.get(callOut.rpc));
         sendings.put(callOut, sending);
-        sending.begin();
+        sending.begin(hosts, now, timers.after(until.since(now), () -> sending.giveUp(Ending.TIMED_OUT)));
     }
 
     @Override
@@ -226,7 +199,7 @@
 
     @Override
     public void pushBack(Rpc rpc, Span comeBackAfter) {
-        String wait = comeBackAfter.us() > 0 ? Long.toString(HostConnections.millis(comeBackAfter)) : null;
+        String wait = comeBackAfter.us() > 0 ? Long.toString(Timers.millis(comeBackAfter)) : null;
         answer(rpc, Count.PUSHED_BACK, new Failure(PUSHED_BACK.code(), PUSHED_BACK.message(), wait));
     }
 
@@ -251,44 +224,9 @@
     @Override
     public void probe(Host host) {
         counters.add(Count.PROBES);
-        new Probe(host).begin();
-    }
-
-    /** One probe on its way. */
-    private final class Probe implements HostConnection.Use {
-        private final Host host;
-        private HostConnection connection;
-        private long timer;
-
-        Probe(Host host) {
-            this.host = host;
-        }
-
-        void begin() {
-            timer = vertx.setTimer(HostConnections.millis(probeTime), id -> {
-                connection.giveUp();
-                ended(Ending.TIMED_OUT, null);
-            });
-            connection = hosts.open(host.id, this);
-            if (connection == null) {
-                ended(Ending.NO_SOCKET, null);
-            } else if (connection.isUp()) {
-                up(connection);
-            }
-        }
-
-        @Override
-        public void up(HostConnection opened) {
-            opened.write(Encoder.query(deployment.probesTellPosition() ? PROBE_FOR_REPORT : PROBE));
-        }
-
-        @Override
-        public void ended(Ending ending, HostWord word) {
-            vertx.cancelTimer(timer);
-            boolean answered = ending == Ending.SERVED;
-            put(null, time -> logic.probed(time, host, answered, answered ? word.reportedRole() : Role.UNTOLD,
-                    answered ? word.reportedPosition() : Moment.NEVER));
-        }
+        Probe probe = new Probe(this, host);
+        String question = deployment.probesTellPosition() ? Probe.FOR_REPORT : Probe.FOR_LIFE;
+        probe.begin(hosts, question, timers.after(probeTime, probe::giveUp));
     }
 
     @Override
@@ -298,6 +236,6 @@
 
     @Override
     public void wakeAt(Moment when) {
-        vertx.setTimer(HostConnections.millis(when.since(now)), timer -> put(null, time -> { }));
+        timers.after(when.since(now), () -> put(null, time -> { }));
     }
 }
--- a/src/main/java/ironwind/net/Router.java
+++ b/src/main/java/ironwind/net/Router.java
@@ -46,7 +46,7 @@
             int sockets = Math.max(2, facts.mostSockets() - OTHER_DESCRIPTORS);
             int forHosts = (int) (HOSTS_PART * sockets);
             hosts = new HostConnections(vertx, facts, forHosts, counters, log);
-            LogicTask logic = new LogicTask(vertx, context, facts, hosts, counters, log);
+            LogicTask logic = new LogicTask(context, new Timers(vertx), facts, hosts, counters, log);
             discovery = new Discovery(vertx, facts, logic, hosts, counters, log);
             clients = new Clients(vertx, facts, sockets - forHosts, logic, counters, log);
             clients.listen().<Void>mapEmpty().onComplete(started);
--- /dev/null
+++ b/src/main/java/ironwind/net/Timers.java
@@ -0,0 +1,28 @@
+package ironwind.net;
+
+import io.vertx.core.Vertx;
+import ironwind.model.Span;
+
+/** One-shot timers of the event loop. */
+final class Timers {
+    private final Vertx vertx;
+
+    Timers(Vertx vertx) {
+        this.vertx = vertx;
+    }
+
+    /** A timer that runs; cancelling it later than that does nothing. */
+    interface Timer {
+        void cancel();
+    }
+
+    Timer after(Span span, Runnable action) {
+        long id = vertx.setTimer(millis(span), timer -> action.run());
+        return () -> vertx.cancelTimer(id);
+    }
+
+    /** Whole milliseconds, rounded up, one at least. */
+    static int millis(Span span) {
+        return (int) Math.max(1, (span.us() + 999) / 1_000);
+    }
+}
--- a/src/main/java/ironwind/pg/Frames.java
+++ b/src/main/java/ironwind/pg/Frames.java
@@ -5,10 +5,12 @@
 /** Cuts what comes in, split or joined at any byte, into messages. */
 public final class Frames {
     private static final int LENGTH_BYTES = 4;
+    /** Most messages are no longer than this. */
+    private static final int USUAL = 512;
 
     private final int longest;
     private boolean startup;
-    private byte[] bytes = new byte[256];
+    private byte[] bytes = new byte[USUAL];
     private int from;
     private int to;
 
@@ -55,6 +57,8 @@
         if (from == to) {
             from = 0;
             to = 0;
+            // A connection that once brought a large value does not keep room for it.
+            bytes = bytes.length > USUAL ? new byte[USUAL] : bytes;
         }
         return frame;
     }
--- a/src/main/java/ironwind/start/StartFacts.java
+++ b/src/main/java/ironwind/start/StartFacts.java
@@ -19,7 +19,8 @@
         Deployment deployment,
         Names names,
         Span connectTime,
-        Span hostIdleTime) {
+        Span hostIdleTime,
+        Span answerSlack) {
 
     /** Reads them from a JSON file; a {@link StartFault} tells what is missing or malformed. */
     public static StartFacts read(Path file) {
@@ -40,7 +41,8 @@
                 Address.parse(top.need("discovery")), seed(top), top.needSmall("limits.sockets"),
                 child(json, "known"), deployment, Names.read(settings, deployment),
                 new Span(settings.needWhole("caps.connect_timeout_us")),
-                new Span(settings.needWhole("caps.idle_close_us")));
+                new Span(settings.needWhole("caps.idle_close_us")),
+                new Span(settings.needWhole("rules.answer_slack_us")));
     }
 
     private static JsonObject child(JsonObject json, String key) {
--- a/src/test/java/ironwind/adapter/StartFactsTest.java
+++ b/src/test/java/ironwind/adapter/StartFactsTest.java
@@ -37,7 +37,7 @@
             "worth": 6.0}],
           "peers_total": 2, "period_us": 5000, "prices": {"probe": 0.01},
           "reporting": {"fields": ["x0", "util"], "via": "inline"},
-          "rules": {"cold_from": 0.25, "fall_multiple": 4.0, "soft_removal": true},
+          "rules": {"answer_slack_us": 20000, "cold_from": 0.25, "fall_multiple": 4.0, "soft_removal": true},
           "tenants": [{"name": "chess", "quota_per_s": 102.0}],
           "kinds": ["std-4core"], "zones": ["auckland", "hamilton"], "news": null}}""";
 
--- a/src/test/java/ironwind/net/RouterTest.java
+++ b/src/test/java/ironwind/net/RouterTest.java
@@ -55,7 +55,7 @@
          "extra": {"read_level": ["loose", "update"], "when_behind": "off"},
          "caps": {"cancel": true, "may_probe": true, "parallel_tries": true, "most_tries": 4, "retry_after": true,
                   "max_retry_after_us": 250000, "connect_timeout_us": 250000, "idle_close_us": 30000000},
-         "rules": {"drain_grace_us": 500000}, "prices": {"probe": 0.01}}""");
+         "rules": {"answer_slack_us": 20000, "drain_grace_us": 500000}, "prices": {"probe": 0.01}}""");
 
     private final ExecutorService threads = Executors.newCachedThreadPool();
     private final ByteArrayOutputStream log = new ByteArrayOutputStream();
