--- a/src/main/java/ironwind/net/LogicTask.java
+++ b/src/main/java/ironwind/net/LogicTask.java
@@ -1,7 +1,6 @@
 package ironwind.net;
 
 import io.vertx.core.Context;
-import ironwind.Logic;
 import ironwind.model.CallOut;
 import ironwind.model.Customer;
 import ironwind.model.Deployment;
@@ -26,6 +25,7 @@
 import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.function.Consumer;
+import java.util.function.Function;
 
 /**
  * The sole owner of the decision module. What happens on sockets is put into a queue; a batch takes all that
@@ -59,11 +59,12 @@
     private record Event(Exchange concerned, Consumer<Moment> act) {
     }
 
-    LogicTask(Context context, Timers timers, StartFacts facts, HostConnections hosts, Counters counters, Log log) {
+    LogicTask(Context context, Timers timers, StartFacts facts, Function<Outbound, Inbound> module,
+            HostConnections hosts, Counters counters, Log log) {
         this.context = context;
         this.timers = timers;
         this.deployment = facts.deployment();
-        this.logic = new Logic(deployment, facts.seed(), this);
+        this.logic = module.apply(this);
         this.hosts = hosts;
         this.probeTime = facts.connectTime();
         this.answerSlack = facts.answerSlack();
@@ -127,7 +128,7 @@
     /** Guards against a defect that leaves an RPC without its answer: the module always answers before this. */
     private void overdue(Moment time, Exchange exchange) {
         logic.settle(time);
-        if (exchange.rpc.stage != Rpc.Stage.OVER) {
+        if (exchange.rpc.stage != Rpc.Stage.OVER && !exchange.isAnswered()) {
             throw new IllegalStateException("no answer by the deadline of " + exchange.rpc.id);
         }
     }
--- a/src/main/java/ironwind/net/Router.java
+++ b/src/main/java/ironwind/net/Router.java
@@ -6,7 +6,11 @@
 import io.vertx.core.Vertx;
 import io.vertx.core.VertxOptions;
 import io.vertx.core.file.FileSystemOptions;
+import ironwind.Logic;
+import ironwind.model.Inbound;
+import ironwind.model.Outbound;
 import ironwind.start.StartFacts;
+import java.util.function.Function;
 
 /** One real router, for use in a program of one's own: start it, ask its clients away, stop it. */
 public final class Router {
@@ -21,6 +25,7 @@
 
     private final StartFacts facts;
     private final Log log;
+    private final Function<Outbound, Inbound> module;
     private final Counters counters = new Counters();
     private final Vertx vertx;
     private final Context context;
@@ -29,7 +34,13 @@
     private Discovery discovery;
 
     public Router(StartFacts facts, Log log) {
+        this(facts, log, outbound -> new Logic(facts.deployment(), facts.seed(), outbound));
+    }
+
+    /** With another module in the place of {@link Logic}. */
+    Router(StartFacts facts, Log log, Function<Outbound, Inbound> module) {
         this.facts = facts;
+        this.module = module;
         this.log = log;
         this.vertx = Vertx.vertx(new VertxOptions().setEventLoopPoolSize(1).setWorkerPoolSize(1)
                 .setInternalBlockingPoolSize(1).setFileSystemOptions(new FileSystemOptions()
@@ -46,7 +57,7 @@
             int sockets = Math.max(2, facts.mostSockets() - OTHER_DESCRIPTORS);
             int forHosts = (int) (HOSTS_PART * sockets);
             hosts = new HostConnections(vertx, facts, forHosts, counters, log);
-            LogicTask logic = new LogicTask(context, new Timers(vertx), facts, hosts, counters, log);
+            LogicTask logic = new LogicTask(context, new Timers(vertx), facts, module, hosts, counters, log);
             discovery = new Discovery(vertx, facts, logic, hosts, counters, log);
             clients = new Clients(vertx, facts, sockets - forHosts, logic, counters, log);
             clients.listen().<Void>mapEmpty().onComplete(started);
--- a/src/test/java/ironwind/net/RouterTest.java
+++ b/src/test/java/ironwind/net/RouterTest.java
@@ -6,6 +6,8 @@
 import io.vertx.core.Future;
 import io.vertx.core.json.JsonArray;
 import io.vertx.core.json.JsonObject;
+import ironwind.model.Group;
+import ironwind.model.Inbound;
 import ironwind.pg.Encoder;
 import ironwind.pg.Failure;
 import ironwind.pg.Frame;
@@ -17,6 +19,8 @@
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.io.PrintStream;
+import java.lang.reflect.InvocationHandler;
+import java.lang.reflect.Proxy;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
@@ -64,6 +68,7 @@
     private StandInHost primary;
     private StandInHost replica;
     private HttpServer discovery;
+    private StartFacts facts;
     private Router router;
     private int asked;
 
@@ -85,11 +90,15 @@
             }
         });
         discovery.start();
-        router = new Router(StartFacts.read(new JsonObject().put("name", "n1").put("listen", "127.0.0.1:0")
+        facts = StartFacts.read(new JsonObject().put("name", "n1").put("listen", "127.0.0.1:0")
                 .put("discovery", "127.0.0.1:" + discovery.getAddress().getPort()).put("seed", "8c1f30d27a5be964")
                 .put("limits", new JsonObject().put("sockets", 256)).put("settings", SETTINGS)
-                .put("known", new JsonObject().put("version", 1).put("full", true).put("servers", new JsonArray()))),
-                new Log(new PrintStream(log, true)));
+                .put("known", new JsonObject().put("version", 1).put("full", true).put("servers", new JsonArray())));
+        begin(new Router(facts, new Log(new PrintStream(log, true))));
+    }
+
+    private void begin(Router next) throws Exception {
+        router = next;
         router.start().await(10, TimeUnit.SECONDS);
     }
 
@@ -231,6 +240,26 @@
         assertThat(log.toString()).containsOnlyOnce("discovery_failed").containsOnlyOnce("discovery_back");
     }
 
+    /** Guards against a defect of the module: what it concerns is aborted, once, and told with its place. */
+    @ParameterizedTest(name = "a module that {0}")
+    @CsvSource({"throws, UnsupportedOperationException", "forgets, IllegalStateException"})
+    void anRpcThatADefectConcernsIsStillAnswered(String defect, String told) throws Exception {
+        router.stop().await(10, TimeUnit.SECONDS);
+        InvocationHandler module = (proxy, method, arguments) -> {
+            if (method.getName().equals("arrived") && defect.equals("throws")) {
+                throw new UnsupportedOperationException();
+            }
+            return method.getName().equals("group") ? new Group(2) : null;
+        };
+        begin(new Router(facts, new Log(new PrintStream(log, true)), outbound -> (Inbound) Proxy.newProxyInstance(
+                getClass().getClassLoader(), new Class<?>[] {Inbound.class}, module)));
+        Wire client = client();
+        client.send(ask(READ, 100), Encoder.query(""));
+        assertThat(client.answer()).isEqualTo("E40003");
+        assertThat(client.answer()).isEqualTo("IZ");
+        assertThat(log.toString()).containsOnlyOnce("ERROR fault").contains(told, "at=ironwind");
+    }
+
     /** One end of a connection, read message by message. */
     private static final class Wire implements AutoCloseable {
         private final Socket socket;
