--- a/src/test/java/ironwind/net/RouterTest.java
+++ b/src/test/java/ironwind/net/RouterTest.java
@@ -31,6 +31,7 @@
 import java.util.Arrays;
 import java.util.HexFormat;
 import java.util.List;
+import java.util.Map;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.ExecutorService;
@@ -159,6 +160,11 @@
         assertThat(client.answer()).isEqualTo(answer);
         assertThat(client.answer()).isEqualTo("IZ");
         assertThat(primary.mayHaveRun + replica.mayHaveRun).isLessThanOrEqualTo(method.equals("read") ? 4 : 1);
+        client.send(Encoder.query("SHOW stats"));
+        assertThat(client.answer()).isEqualTo("TDCZ");
+        assertThat(new String(client.lastData, StandardCharsets.UTF_8)).contains("rpcs=1 ").containsPattern(
+                Map.of('T', "ok=1 pushed_back=0 aborted=0", '5', "ok=0 pushed_back=1 aborted=0",
+                        '4', "ok=0 pushed_back=0 aborted=1").get(answer.charAt(answer.startsWith("E") ? 1 : 0)));
         assertThat(log.toString()).doesNotContain("ERROR");
     }
 
