--- a/src/main/java/ironwind/net/HostConnections.java
+++ b/src/main/java/ironwind/net/HostConnections.java
@@ -23,6 +23,9 @@
 
 /** All connections to hosts: one request at a time on each, a new one only where none is idle. */
 final class HostConnections {
+    /** PROTOCOL: a request that crosses its host's closing of an idle connection is lost. So much of that time is used. */
+    private static final double IDLE_PART = 0.75;
+
     private final Vertx vertx;
     private final NetClient client;
     private final Span connectTime;
@@ -37,13 +40,12 @@
     HostConnections(Vertx vertx, StartFacts facts, int most, Counters counters, Log log) {
         this.vertx = vertx;
         this.connectTime = facts.connectTime();
-        // A host closes what has been idle so long: the connect time covers a request on its way.
-        this.idleTime = facts.hostIdleTime().minus(facts.connectTime());
+        this.idleTime = facts.hostIdleTime().times(IDLE_PART);
         this.most = most;
         this.counters = counters;
         this.log = log;
         this.client = vertx.createNetClient(new NetClientOptions().setConnectTimeout(Timers.millis(connectTime)));
-        vertx.setPeriodic(Timers.millis(connectTime), timer -> closeStale());
+        vertx.setPeriodic(Timers.millis(idleTime.times(1 - IDLE_PART)), timer -> closeStale());
     }
 
     /** Where a host listens; what is open to an address it had before is closed. */
--- a/src/test/java/ironwind/net/RouterTest.java
+++ b/src/test/java/ironwind/net/RouterTest.java
@@ -8,6 +8,7 @@
 import io.vertx.core.json.JsonObject;
 import ironwind.model.Group;
 import ironwind.model.Inbound;
+import ironwind.model.Span;
 import ironwind.pg.Encoder;
 import ironwind.pg.Failure;
 import ironwind.pg.Frame;
@@ -208,6 +209,23 @@
         assertThat(other.answer()).isEqualTo("TDCZ");
     }
 
+    /** Guards against a request that crosses its host's closing of an idle connection, and may have run. */
+    @Test
+    void connectionsToHostsAreClosedBeforeTheirHostsCloseThem() throws Exception {
+        router.stop().await(10, TimeUnit.SECONDS);
+        StartFacts hasty = new StartFacts(facts.name(), facts.listen(), facts.discovery(), facts.seed(),
+                facts.mostSockets(), facts.knownHosts(), facts.deployment(), facts.names(), facts.connectTime(),
+                Span.ofMillis(200), facts.answerSlack());
+        begin(new Router(hasty, new Log(new PrintStream(log, true))));
+        Wire client = client();
+        client.send(ask(READ, 900));
+        assertThat(client.answer()).isEqualTo("TDCZ");
+        assertThat(replica.ends.take()).isEqualTo("closed by the router");
+        client.send(ask(READ, 900));
+        assertThat(client.answer()).isEqualTo("TDCZ");
+        assertThat(replica.connections).isEqualTo(2);
+    }
+
     @Test
     void aClientThatLeavesCallsItsRpcOff() throws Exception {
         primary.acts = new String[] {"silent"};
