--- a/src/main/java/ironwind/net/HostConnections.java
+++ b/src/main/java/ironwind/net/HostConnections.java
@@ -23,7 +23,7 @@
 
 /** All connections to hosts: one request at a time on each, a new one only where none is idle. */
 final class HostConnections {
-    /** PROTOCOL: a request that crosses its host's closing of an idle connection is lost. So much of that time is used. */
+    /** Of the time after which a host closes an idle connection: a request that crosses the close would be lost. */
     private static final double IDLE_PART = 0.75;
 
     private final Vertx vertx;
--- a/src/main/java/ironwind/net/LogicTask.java
+++ b/src/main/java/ironwind/net/LogicTask.java
@@ -120,7 +120,8 @@
                     asked.after <= 0 ? Moment.NEVER : new Moment(0).plus(Span.ofMillis(asked.after)), asked.repeat);
             exchange.rpc = rpc;
             exchanges.put(rpc, exchange);
-            timers.after(rpc.deadline.plus(answerSlack).since(time), () -> put(exchange, due -> overdue(due, exchange)));
+            Span longest = rpc.deadline.plus(answerSlack).since(time);
+            timers.after(longest, () -> put(exchange, due -> overdue(due, exchange)));
             logic.arrived(time, rpc);
         });
     }
--- a/src/test/java/ironwind/LogicTest.java
+++ b/src/test/java/ironwind/LogicTest.java
@@ -347,7 +347,8 @@
     @ParameterizedTest(name = "{0} routers: {1} to {2} of 40 RPCs sent")
     @CsvSource({"2, 30, 40", "200, 1, 12"})
     void aSmallPartOfAPoolIsKeptByResting(int routers, int least, int most) {
-        Scene scene = new Scene(HostChecks.REFUSE, false, Effect.NON_IDEMPOTENT, routers).list(true, "a:primary", "b", "c");
+        Scene scene = new Scene(HostChecks.REFUSE, false, Effect.NON_IDEMPOTENT, routers)
+                .list(true, "a:primary", "b", "c");
         int sent = 0;
         for (int i = 0; i < 40; i++) {
             Rpc rpc = scene.arrive(Scene.WRITE);
@@ -399,8 +400,8 @@
     /** Guards against a connection that takes long to come up: what held at the decision must hold at the write. */
     @ParameterizedTest(name = "method {0} at a replica {1} ms behind, written {2} ms later, {3}: {4}")
     @CsvSource({
-        "3, 250, 10, ready, true", "3, 250, 100, ready, false", "4, 900, 100, ready, true", "4, 10, 10, draining, false",
-        "4, 10, 10, gone, false"})
+        "3, 250, 10, ready, true", "3, 250, 100, ready, false", "4, 900, 100, ready, true",
+        "4, 10, 10, draining, false", "4, 10, 10, gone, false"})
     void aSendIsAskedAboutAgainWhenItsConnectionIsUp(int method, long age, long later, String listing, boolean passes) {
         Scene scene = positions(age, age);
         Rpc rpc = scene.arrive(method);
--- a/src/test/java/ironwind/Scene.java
+++ b/src/test/java/ironwind/Scene.java
@@ -61,7 +61,9 @@
             String[] words = (entry + ":ready").split(":");
             Listing listing = words[1].equals("draining") ? Listing.DRAINING
                     : words[1].equals("gone") ? Listing.GONE : Listing.READY;
-            list.add(new RosterEntry(words[0], words[0].startsWith("far") ? 1 : 0, 0, 1, listing, 1, words[1].equals("cold") ? now() : Moment.NEVER,
+            Moment started = words[1].equals("cold") ? now() : Moment.NEVER;
+            int zone = words[0].startsWith("far") ? 1 : 0;
+            list.add(new RosterEntry(words[0], zone, 0, 1, listing, 1, started,
                     words[1].equals("primary")));
         }
         logic.listed(now(), complete, list);
--- a/src/test/java/ironwind/adapter/AdapterTest.java
+++ b/src/test/java/ironwind/adapter/AdapterTest.java
@@ -40,7 +40,8 @@
 
     @Test
     void aCallIsHandedOffAndItsVerdictEndsIt() throws IOException {
-        String verdict = "VERDICT\trouter=3\ttxn=00000000000000aa\tseq_no=0\thost=10.0.0.1:1\tcode=delivered\tfinal=1\n";
+        String verdict = "VERDICT\trouter=3\ttxn=00000000000000aa\tseq_no=0\thost=10.0.0.1:1"
+                + "\tcode=delivered\tfinal=1\n";
         String reply = play(START + CALL, verdict, verdict + "CLIENT_LEFT\trouter=3\ttxn=00000000000000aa\n");
         assertThat(reply).containsOnlyOnce("HAND_OFF\trouter=3\ttxn=00000000000000aa\thost=10.0.0.1:1");
         assertThat(reply).doesNotContain("DECLINE", "END_FAILED", "INTERNAL_ERROR");
--- a/src/test/java/ironwind/net/RouterTest.java
+++ b/src/test/java/ironwind/net/RouterTest.java
@@ -56,8 +56,9 @@
     private static final byte[] VALUE = {0, (byte) 0xff, 'x', 0};
     private static final JsonObject SETTINGS = new JsonObject("""
         {"period_us": 5000, "peers_total": 1, "zones": ["north"], "kinds": ["plain"], "tenants": [],
-         "lanes": [{"name": "read", "effect": "retryable", "deadline_us": 2000000, "goal_time_us": 400000, "worth": 2.0},
-                   {"name": "write", "effect": "fragile", "deadline_us": 2000000, "goal_time_us": 400000, "worth": 6}],
+         "lanes": [
+          {"name": "read", "effect": "retryable", "deadline_us": 2000000, "goal_time_us": 400000, "worth": 2.0},
+          {"name": "write", "effect": "fragile", "deadline_us": 2000000, "goal_time_us": 400000, "worth": 6}],
          "extra": {"read_level": ["loose", "update"], "when_behind": "off"},
          "caps": {"cancel": true, "may_probe": true, "parallel_tries": true, "most_tries": 4, "retry_after": true,
                   "max_retry_after_us": 250000, "connect_timeout_us": 250000, "idle_close_us": 30000000},
@@ -96,7 +97,6 @@
                 .put("discovery", "127.0.0.1:" + discovery.getAddress().getPort()).put("seed", "8c1f30d27a5be964")
                 .put("limits", new JsonObject().put("sockets", 256)).put("settings", SETTINGS)
                 .put("known", new JsonObject().put("version", 1).put("full", true).put("servers", new JsonArray())));
-        begin(new Router(facts, new Log(new PrintStream(log, true))));
     }
 
     private void begin(Router next) throws Exception {
@@ -120,8 +120,11 @@
     }
 
     /** A client of a router that has heard the list. */
-    private Wire client() throws IOException {
+    private Wire client() throws Exception {
         lists.add(list());
+        if (router == null) {
+            begin(new Router(facts, new Log(new PrintStream(log, true))));
+        }
         return admitted();
     }
 
@@ -190,7 +193,8 @@
         }
         assertThat(replica.connections).isEqualTo(1);
         client.send(ask(READ, 900), Encoder.query("SHOW stats"), Encoder.query("nonsense"));
-        assertThat(List.of(client.answer(), client.answer(), client.answer())).containsExactly("TDCZ", "TDCZ", "E0A000");
+        assertThat(List.of(client.answer(), client.answer(), client.answer()))
+                .containsExactly("TDCZ", "TDCZ", "E0A000");
         assertThat(new String(client.lastData, StandardCharsets.UTF_8)).contains("rpcs=4");
     }
 
@@ -212,7 +216,6 @@
     /** Guards against a request that crosses its host's closing of an idle connection, and may have run. */
     @Test
     void connectionsToHostsAreClosedBeforeTheirHostsCloseThem() throws Exception {
-        router.stop().await(10, TimeUnit.SECONDS);
         StartFacts hasty = new StartFacts(facts.name(), facts.listen(), facts.discovery(), facts.seed(),
                 facts.mostSockets(), facts.knownHosts(), facts.deployment(), facts.names(), facts.connectTime(),
                 Span.ofMillis(200), facts.answerSlack());
@@ -268,7 +271,6 @@
     @ParameterizedTest(name = "a module that {0}")
     @CsvSource({"throws, UnsupportedOperationException", "forgets, IllegalStateException"})
     void anRpcThatADefectConcernsIsStillAnswered(String defect, String told) throws Exception {
-        router.stop().await(10, TimeUnit.SECONDS);
         InvocationHandler module = (proxy, method, arguments) -> {
             if (method.getName().equals("arrived") && defect.equals("throws")) {
                 throw new UnsupportedOperationException();
@@ -367,8 +369,9 @@
         }
 
         JsonObject entry() {
-            return new JsonObject().put("id", role).put("addr", "127.0.0.1:" + server.getLocalPort()).put("zone", "north")
-                    .put("kind", "plain").put("cell", 2).put("state", "Ready").put("weight", 1.0).put("started_ms", 0)
+            return new JsonObject().put("id", role).put("addr", "127.0.0.1:" + server.getLocalPort())
+                    .put("zone", "north").put("kind", "plain")
+                    .put("cell", 2).put("state", "Ready").put("weight", 1.0).put("started_ms", 0)
                     .put("role", role);
         }
 
