A failed probe takes back the sign of a host that is full of connections

Checked: counters printed every 4 s: 532 of 694 connections had been closed by the router as idle, none by hosts; no second copies or cancels to speak of (ruled out), idle limit 30 s (ruled out). closeIdle is asked for 10 s after a host that refused a connection at once answers a probe. At fault: Logic.probed, which kept the sign of refusal over a failed probe, so that hosts that had crashed and come back were taken for full.

--- a/src/main/java/ironwind/Logic.java
+++ b/src/main/java/ironwind/Logic.java
@@ -258,13 +258,14 @@
         now = time;
         host.probeOut = false;
         host.probeAnswered = answered;
+        host.refused &= answered;
         if (!answered) {
             host.trialsFailed = Math.max(1, host.trialsFailed);
             return;
         }
         if (host.refused) {
-            // It runs, but refused a connection. Guards against few connections for many routers: each gives
-            // back what it doesn't use. Harm: handshakes, for a while, where only one host was full of them.
+            // It runs, yet refused a connection; one that was down failed its probe first. Guards against few
+            // connections for many routers: each gives back what it doesn't use. Harm: more handshakes.
             host.refused = false;
             scarceUntil = now.plus(SCARCE_HOLDS);
             trust(host);
@@ -363,7 +364,6 @@
                 host.position = host.position.later(need(rpc, callOut.sent));
                 if (!need(rpc, callOut.sent).before(host.missedNeed)) {
                     host.missedAt = Moment.NEVER;
-                    host.missedNeed = Moment.NEVER;
                 }
             } else if (outcome == Outcome.MISS) {
                 host.missedAt = now;
--- a/src/test/java/ironwind/LogicTest.java
+++ b/src/test/java/ironwind/LogicTest.java
@@ -330,14 +330,17 @@
         assertThat(List.of(scene.host("b"), scene.host("c"))).allMatch(host -> !scene.now().before(host.restUntil));
     }
 
-    @ParameterizedTest(name = "refused after {0} ms, probe answered {1}: connections given back {2}")
-    @CsvSource({"1, true, true", "1, false, false", "250, true, false"})
-    void connectionsAreGivenBackWhereAHostThatRunsRefusesOne(long after, boolean runs, boolean given) {
+    /** The last case guards against a host that was down and is back: it never was full of connections. */
+    @ParameterizedTest(name = "refused after {0} ms, probes answered {1}: connections given back {2}")
+    @CsvSource({"1, true, true", "1, false, false", "250, true, false", "1, false true, false"})
+    void connectionsAreGivenBackWhereAHostThatRunsRefusesOne(long after, String answered, boolean given) {
         Scene scene = scene(HostChecks.NONE);
         Rpc refused = scene.arrive(Scene.ANY);
         Host host = refused.callOuts.get(0).host;
         scene.pass(after).end(refused, Outcome.UNREACHED, Role.UNTOLD, -1);
-        scene.logic.probed(scene.now(), host, runs, Role.UNTOLD, Moment.NEVER);
+        for (String runs : answered.split(" ")) {
+            scene.logic.probed(scene.now(), host, Boolean.parseBoolean(runs), Role.UNTOLD, Moment.NEVER);
+        }
         assertThat(host.suspect).isEqualTo(!given);
         scene.serve(3, Scene.ANY, 20);
         assertThat(scene.asked.stream().anyMatch(action -> action.startsWith("close"))).isEqualTo(given);
