What a client brought before malformed input is still answered; the router stops on its own loop

Now the error takes its place in the order of answers, and the connection closes after it. Router.stop closed connections from the caller's thread; it now does so on the event loop. Tests: both, and 64 KiB values both ways.

--- a/src/main/java/ironwind/net/ClientConnection.java
+++ b/src/main/java/ironwind/net/ClientConnection.java
@@ -24,7 +24,8 @@
     private final Deque<Exchange> exchanges = new ArrayDeque<>();
     private boolean skipping;
     private boolean paused;
-    private boolean dismissed;
+    /** How the connection is to end once all that it brought is answered; null while more may come. */
+    private Ending closing;
     private boolean closed;
 
     ClientConnection(NetSocket socket, Clients clients) {
@@ -37,6 +38,9 @@
     }
 
     private void received(Buffer buffer) {
+        if (closing == Ending.CLIENT_MALFORMED) {
+            return;
+        }
         try {
             frames.add(buffer.getBytes());
             for (Frame frame = frames.next(); frame != null && !closed; frame = frames.next()) {
@@ -45,8 +49,8 @@
             pace();
         } catch (PgFault fault) {
             clients.malformed(fault);
-            write(Encoder.fatal(new Failure(fault.code, fault.getMessage(), null)));
-            closed(Ending.CLIENT_MALFORMED);
+            closing = Ending.CLIENT_MALFORMED;
+            add(null).answer(Encoder.fatal(new Failure(fault.code, fault.getMessage(), null)));
         }
     }
 
@@ -103,16 +107,18 @@
             write(exchanges.poll().takeAnswer());
         }
         pace();
-        if (dismissed) {
-            dismiss();
-        }
+        closeIfDone();
     }
 
     /** Closes the connection between two requests, now or once what it has brought is answered. */
     void dismiss() {
-        dismissed = true;
-        if (exchanges.isEmpty() && !frames.midway()) {
-            closed(Ending.CLIENT_DISMISSED);
+        closing = closing == null ? Ending.CLIENT_DISMISSED : closing;
+        closeIfDone();
+    }
+
+    private void closeIfDone() {
+        if (closing != null && exchanges.isEmpty() && (closing == Ending.CLIENT_MALFORMED || !frames.midway())) {
+            closed(closing);
         }
     }
 
--- a/src/main/java/ironwind/net/Router.java
+++ b/src/main/java/ironwind/net/Router.java
@@ -92,10 +92,14 @@
 
     /** Ends at once. */
     public Future<Void> stop() {
-        log.info("stopped", "counters", counters);
-        discovery.stop();
-        hosts.stop();
-        return vertx.close();
+        Promise<Void> stopped = Promise.promise();
+        context.runOnContext(nothing -> {
+            log.info("stopped", "counters", counters);
+            discovery.stop();
+            hosts.stop();
+            vertx.close().onComplete(stopped);
+        });
+        return stopped.future();
     }
 
     /** The port it listens on, once started. */
--- a/src/test/java/ironwind/net/RouterTest.java
+++ b/src/test/java/ironwind/net/RouterTest.java
@@ -33,6 +33,7 @@
 import java.util.HexFormat;
 import java.util.List;
 import java.util.Map;
+import java.util.SplittableRandom;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.ExecutorService;
@@ -53,7 +54,6 @@
     private static final InetAddress LOOPBACK = InetAddress.getLoopbackAddress();
     private static final String READ = "/* id=r%d,c=read,d=%d,cluster=2 */ SELECT val FROM state WHERE uid = 'k'";
     private static final String WRITE = "/* id=r%d,c=write,d=%d,k=m,cluster=2 */ INSERT INTO state (uid) VALUES ('k')";
-    private static final byte[] VALUE = {0, (byte) 0xff, 'x', 0};
     private static final JsonObject SETTINGS = new JsonObject("""
         {"period_us": 5000, "peers_total": 1, "zones": ["north"], "kinds": ["plain"], "tenants": [],
          "lanes": [
@@ -68,6 +68,7 @@
     private final ByteArrayOutputStream log = new ByteArrayOutputStream();
     private final BlockingQueue<String> lists = new LinkedBlockingQueue<>();
     private final List<AutoCloseable> opened = new ArrayList<>();
+    private volatile byte[] value = {0, (byte) 0xff, 'x', 0};
     private StandInHost primary;
     private StandInHost replica;
     private HttpServer discovery;
@@ -177,7 +178,7 @@
         Wire client = client();
         client.send(ask(READ, 700));
         assertThat(client.answer()).isEqualTo("TDCZ");
-        assertThat(client.lastData).endsWith(VALUE);
+        assertThat(client.lastData).endsWith(value);
         Statement sent = Statement.parse(replica.requests.take());
         assertThat(sent.text()).isEqualTo("SELECT val FROM state WHERE uid = 'k'");
         assertThat(sent.facts()).containsEntry("id", "r0").containsEntry("cluster", "2");
@@ -229,6 +230,30 @@
         assertThat(replica.connections).isEqualTo(2);
     }
 
+    @Test
+    void whatCameBeforeMalformedInputIsStillAnswered() throws Exception {
+        replica.acts = new String[] {"wait"};
+        Wire client = client();
+        client.send(ask(READ, 2_000), HexFormat.of().parseHex("3f00000004"));
+        replica.requests.take();
+        replica.released.countDown();
+        assertThat(client.answer()).isEqualTo("TDCZ");
+        assertThat(client.answer()).isEqualTo("E08P01 closed");
+    }
+
+    /** Values may have 64 KiB: in hexadecimal in a statement, as they are in an answer. */
+    @Test
+    void largeValuesPassThroughBothWays() throws Exception {
+        value = new byte[64 * 1024];
+        new SplittableRandom(1).nextBytes(value);
+        String statement = "INSERT INTO state (uid, val) VALUES ('k', '\\x" + HexFormat.of().formatHex(value) + "')";
+        Wire client = client();
+        client.send(ask("/* id=r%d,c=write,d=%d,cluster=2 */ " + statement, 2_000));
+        assertThat(client.answer()).isEqualTo("TDCZ");
+        assertThat(client.lastData).endsWith(value).hasSize(6 + value.length);
+        assertThat(primary.requests.take()).endsWith(statement);
+    }
+
     @Test
     void aClientThatLeavesCallsItsRpcOff() throws Exception {
         primary.acts = new String[] {"silent"};
@@ -435,7 +460,7 @@
         }
 
         private byte[] data() {
-            return ByteBuffer.allocate(6 + VALUE.length).putShort((short) 1).putInt(VALUE.length).put(VALUE).array();
+            return ByteBuffer.allocate(6 + value.length).putShort((short) 1).putInt(value.length).put(value).array();
         }
 
         private byte[] parameter(String name, String value) {
