--- a/src/main/java/ironwind/net/Log.java
+++ b/src/main/java/ironwind/net/Log.java
@@ -1,39 +1,69 @@
 package ironwind.net;
 
 import java.io.PrintStream;
+import java.time.Duration;
 import java.time.Instant;
+import java.time.InstantSource;
 import java.time.temporal.ChronoUnit;
+import java.util.HashMap;
+import java.util.Map;
 
-/** One line an event: time, level, event, then key=value pairs. */
+/**
+ * One line an event: time, level, event, then key=value pairs. A warning that comes often is told once a second,
+ * with how many of it were left out since.
+ */
 public final class Log {
+    private static final Duration WARN_EVERY = Duration.ofSeconds(1);
+
     private final PrintStream out;
+    private final InstantSource clock;
+    private final Map<String, Told> warnings = new HashMap<>();
+
+    /** When a warning was last told, and how often it has come since. */
+    private static final class Told {
+        private Instant at = Instant.MIN;
+        private int leftOut;
+    }
 
     public Log(PrintStream out) {
+        this(out, InstantSource.system());
+    }
+
+    Log(PrintStream out, InstantSource clock) {
         this.out = out;
+        this.clock = clock;
     }
 
     /** Pairs are a name and a value each. */
     public void info(String event, Object... pairs) {
-        line("INFO", event, pairs);
+        line("INFO", event, "", pairs);
     }
 
-    public void warn(String event, Object... pairs) {
-        line("WARN", event, pairs);
+    public synchronized void warn(String event, Object... pairs) {
+        Told told = warnings.computeIfAbsent(event, key -> new Told());
+        Instant now = clock.instant();
+        if (now.isBefore(told.at.plus(WARN_EVERY))) {
+            told.leftOut++;
+            return;
+        }
+        line("WARN", event, told.leftOut == 0 ? "" : " left_out=" + told.leftOut, pairs);
+        told.at = now;
+        told.leftOut = 0;
     }
 
     /** An exception that nothing expected, with its place. */
     public void error(String event, Throwable fault) {
         StackTraceElement[] trace = fault.getStackTrace();
-        line("ERROR", event, "fault", fault, "at", trace.length == 0 ? "" : trace[0]);
+        line("ERROR", event, "", "fault", fault, "at", trace.length == 0 ? "" : trace[0]);
     }
 
-    private void line(String level, String event, Object... pairs) {
-        StringBuilder line = new StringBuilder(96).append(Instant.now().truncatedTo(ChronoUnit.MILLIS)).append(' ')
+    private void line(String level, String event, String end, Object... pairs) {
+        StringBuilder line = new StringBuilder(96).append(clock.instant().truncatedTo(ChronoUnit.MILLIS)).append(' ')
                 .append(level).append(' ').append(event);
         for (int i = 0; i + 1 < pairs.length; i += 2) {
             line.append(' ').append(pairs[i]).append('=').append(quoted(String.valueOf(pairs[i + 1])));
         }
-        out.println(line);
+        out.println(line.append(end));
     }
 
     private static String quoted(String value) {
--- /dev/null
+++ b/src/test/java/ironwind/net/LogTest.java
@@ -0,0 +1,37 @@
+package ironwind.net;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.io.ByteArrayOutputStream;
+import java.io.PrintStream;
+import java.time.Instant;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+class LogTest {
+    private final ByteArrayOutputStream lines = new ByteArrayOutputStream();
+    private Instant now = Instant.EPOCH;
+    private final Log log = new Log(new PrintStream(lines, true), () -> now);
+
+    @ParameterizedTest(name = "{0}: {1}")
+    @CsvSource(quoteCharacter = '`', value = {"plain, plain", "two words, \"two words\"", "a=b, \"a=b\"",
+        "say \"no\", \"say \\\"no\\\"\"", "``, \"\""})
+    void valuesAreQuotedWhereTheyMustBe(String value, String written) {
+        log.info("event", "key", value, "count", 3);
+        assertThat(lines.toString().strip()).isEqualTo("1970-01-01T00:00:00Z INFO event key=" + written + " count=3");
+    }
+
+    /** Guards against a flood of one warning that costs more than what it tells of. */
+    @Test
+    void aWarningIsToldOnceASecondWithHowManyWereLeftOut() {
+        for (int i = 0; i < 25; i++) {
+            log.warn("short", "n", i);
+            log.warn(i == 3 ? "other" : "short");
+            now = now.plusMillis(100);
+        }
+        assertThat(lines.toString().lines()).hasSize(4).anyMatch(line -> line.endsWith("WARN other"))
+                .anyMatch(line -> line.endsWith("WARN short n=10 left_out=18"))
+                .anyMatch(line -> line.endsWith("WARN short n=20 left_out=19"));
+    }
+}
