--- a/src/main/java/ironwind/net/HostConnection.java
+++ b/src/main/java/ironwind/net/HostConnection.java
@@ -130,7 +130,7 @@
         }
         if (use == null) {
             end(Ending.CLOSED_BY_HOST);
-        } else if (word.failed()) {
+        } else if (word.isWhole()) {
             end(word.ending());
         } else {
             end(wasWritten() ? Ending.BROKE_WRITTEN : Ending.BROKE_UNWRITTEN);
--- a/src/main/java/ironwind/net/HostWord.java
+++ b/src/main/java/ironwind/net/HostWord.java
@@ -34,12 +34,16 @@
 
     /** How it ended, if no more comes. */
     Ending ending() {
-        boolean whole = description != null && rows == 1 && tag != null;
-        return failed != null ? failed : whole ? Ending.SERVED : Ending.GARBLED;
+        return failed != null ? failed : served() ? Ending.SERVED : Ending.GARBLED;
     }
 
-    boolean failed() {
-        return failed != null;
+    /** Whether all that an answer needs has come: the rest is only whether the connection may be used again. */
+    boolean isWhole() {
+        return failed != null || served();
+    }
+
+    private boolean served() {
+        return description != null && rows == 1 && tag != null;
     }
 
     Row row() {
--- a/src/test/java/ironwind/net/RouterTest.java
+++ b/src/test/java/ironwind/net/RouterTest.java
@@ -165,8 +165,9 @@
     @ParameterizedTest(name = "{0} where the primary does {1} and the replica {2}: {3}")
     @CsvSource({
         "read, row, row, TDCZ", "read, row, full/row, TDCZ", "read, row, error/row, TDCZ", "read, row, reset/row, TDCZ",
-        "read, row, close/row, TDCZ", "read, row, hang up, TDCZ", "read, row, mute, TDCZ",
+        "read, row, close/row, TDCZ", "read, full, row and close, TDCZ", "write, row and close, miss, TDCZ", "read, row, hang up, TDCZ", "read, row, mute, TDCZ",
         "read, full, full, E53300 250", "write, row, row, TDCZ", "write, full/row, row, TDCZ",
+        "write, no room/row, row, TDCZ", "write, no room, miss, E53300 200",
         "write, miss/row, row, TDCZ", "write, error/row, row, E40003", "write, reset/row, row, E40003",
         "write, close/row, row, E40003", "write, garbage/row, row, E40003", "write, silent, row, E40003",
         "write, full, miss, E53300 200", "write, hang up, miss, E53300 200", "write, mute, miss, E53300 200"})
@@ -441,7 +442,10 @@
             try (socket) {
                 Wire wire = new Wire(socket);
                 socket.getInputStream().readNBytes(Encoder.startup("client", "core").length);
-                if (act(false).equals("hang up")) {
+                if (List.of("hang up", "no room").contains(act(false))) {
+                    if (act(true).equals("no room")) {
+                        wire.send(Encoder.fatal(new Failure("53300", "too many connections", null)));
+                    }
                     return null;
                 }
                 if (!act(false).equals("mute")) {
@@ -468,10 +472,11 @@
             mayHaveRun += List.of("full", "miss").contains(act) ? 0 : 1;
             requests.add(sql);
             switch (act) {
-                case "row" -> row(wire);
+                case "row" -> row(wire, Encoder.ready());
+                case "row and close" -> row(wire);
                 case "wait" -> {
                     released.await();
-                    row(wire);
+                    row(wire, Encoder.ready());
                 }
                 case "full" -> wire.send(Encoder.failure(new Failure("53300", "full", null)));
                 case "miss" -> wire.send(Encoder.failure(new Failure("25006", "no primary", null)));
@@ -480,14 +485,15 @@
                 case "reset" -> wire.socket.setSoLinger(true, 0);
                 default -> { }
             }
-            return !List.of("reset", "close").contains(act);
+            return !List.of("reset", "close", "row and close").contains(act);
         }
 
-        private void row(Wire wire) throws IOException {
+        private void row(Wire wire, byte[]... end) throws IOException {
             byte[] whole = Encoder.row(new Row(Row.ofText("val", "").description(), data(), "SELECT 1"));
             int ready = whole.length - Encoder.ready().length;
             wire.send(Arrays.copyOf(whole, ready), parameter("role", role),
-                    parameter("applied_ms", Long.toString(System.currentTimeMillis())), Encoder.ready());
+                    parameter("applied_ms", Long.toString(System.currentTimeMillis())));
+            wire.send(end);
         }
 
         private byte[] data() {
