--- a/src/main/java/ironwind/net/HostConnection.java
+++ b/src/main/java/ironwind/net/HostConnection.java
@@ -99,7 +99,7 @@
             }
         } catch (PgFault fault) {
             pool.garbled(this, fault);
-            end(Ending.GARBLED);
+            end(wasWritten() ? Ending.GARBLED : Ending.BROKE_UNWRITTEN);
         }
     }
 
--- a/src/test/java/ironwind/net/RouterTest.java
+++ b/src/test/java/ironwind/net/RouterTest.java
@@ -164,10 +164,11 @@
     /** What a host does with its first request stands before the slash, with later ones after it. */
     @ParameterizedTest(name = "{0} where the primary does {1} and the replica {2}: {3}")
     @CsvSource({
-        "read, row, row, TDCZ", "read, row, full/row, TDCZ", "read, row, error/row, TDCZ", "read, row, reset/row, TDCZ",
-        "read, row, close/row, TDCZ", "read, full, row and close, TDCZ", "write, row and close, miss, TDCZ", "read, row, hang up, TDCZ", "read, row, mute, TDCZ",
+        "read, row, row, TDCZ", "read, row, full/row, TDCZ", "read, row, error/row, TDCZ",
+        "read, row, reset/row, TDCZ", "read, row, close/row, TDCZ", "read, full, row and close, TDCZ",
+        "write, row and close, miss, TDCZ", "read, row, hang up, TDCZ", "read, row, mute, TDCZ",
         "read, full, full, E53300 250", "write, row, row, TDCZ", "write, full/row, row, TDCZ",
-        "write, no room/row, row, TDCZ", "write, no room, miss, E53300 200",
+        "write, no room/row, row, TDCZ", "write, babble, row, E53300 200", "write, no room, miss, E53300 200",
         "write, miss/row, row, TDCZ", "write, error/row, row, E40003", "write, reset/row, row, E40003",
         "write, close/row, row, E40003", "write, garbage/row, row, E40003", "write, silent, row, E40003",
         "write, full, miss, E53300 200", "write, hang up, miss, E53300 200", "write, mute, miss, E53300 200"})
@@ -442,9 +443,11 @@
             try (socket) {
                 Wire wire = new Wire(socket);
                 socket.getInputStream().readNBytes(Encoder.startup("client", "core").length);
-                if (List.of("hang up", "no room").contains(act(false))) {
-                    if (act(true).equals("no room")) {
-                        wire.send(Encoder.fatal(new Failure("53300", "too many connections", null)));
+                if (List.of("hang up", "no room", "babble").contains(act(false))) {
+                    switch (act(true)) {
+                        case "no room" -> wire.send(Encoder.fatal(new Failure("53300", "no connection left", null)));
+                        case "babble" -> wire.send("what is this?".getBytes(StandardCharsets.UTF_8));
+                        default -> { }
                     }
                     return null;
                 }
