--- a/src/main/java/ironwind/net/HostWord.java
+++ b/src/main/java/ironwind/net/HostWord.java
@@ -2,14 +2,20 @@
 
 import ironwind.model.Moment;
 import ironwind.model.Role;
-import ironwind.model.Span;
 import ironwind.pg.HostMessage;
 import ironwind.pg.Row;
+import java.math.BigDecimal;
+import java.math.RoundingMode;
 import java.util.HashMap;
 import java.util.Map;
 
 /** What a host said in one use of a connection. */
 final class HostWord {
+    private static final int MILLIS = 3;
+    private static final int SECONDS = 6;
+    /** Before or after the point: a Unix time in milliseconds has 13 for some centuries to come. */
+    private static final int MOST_DIGITS = 15;
+
     private byte[] description;
     private byte[] data;
     private int rows;
@@ -60,20 +66,24 @@
 
     /** The position it told, rounded down to what is sure; {@link Moment#NEVER} for none. */
     Moment position() {
-        double ms = number(parameters.get("applied_ms"));
-        return ms > 0 ? new Moment((long) Math.floor(ms * 1_000)) : Moment.NEVER;
+        return moment(parameters.get("applied_ms"), MILLIS);
     }
 
     /** The role and position of a load report, which a probe's row holds. */
     Role reportedRole() {
-        double leads = number(reported("x1"));
-        return Double.isNaN(leads) ? Role.UNTOLD : leads >= 1 ? Role.PRIMARY : Role.REPLICA;
+        BigDecimal leads = number(reported("x1"));
+        return leads == null ? Role.UNTOLD : leads.compareTo(BigDecimal.ONE) >= 0 ? Role.PRIMARY : Role.REPLICA;
     }
 
     Moment reportedPosition() {
-        double seconds = number(reported("x0"));
-        return seconds > 0 ? Moment.NEVER.later(new Moment(0).plus(new Span((long) Math.floor(seconds * 1e6))))
-                : Moment.NEVER;
+        return moment(reported("x0"), SECONDS);
+    }
+
+    /** The decimals are read exactly: a position that came out too high would let a read see too little. */
+    private static Moment moment(String text, int digitsToMicros) {
+        BigDecimal number = number(text);
+        return number == null || number.signum() <= 0 ? Moment.NEVER
+                : new Moment(number.movePointRight(digitsToMicros).setScale(0, RoundingMode.FLOOR).longValue());
     }
 
     private String reported(String name) {
@@ -89,11 +99,14 @@
         return null;
     }
 
-    private static double number(String text) {
+    private static BigDecimal number(String text) {
         try {
-            return text == null ? Double.NaN : Double.parseDouble(text);
+            BigDecimal number = text == null ? null : new BigDecimal(text);
+            boolean sane = number != null && number.precision() - number.scale() <= MOST_DIGITS
+                    && number.scale() <= MOST_DIGITS;
+            return sane ? number : null;
         } catch (NumberFormatException e) {
-            return Double.NaN;
+            return null;
         }
     }
 }
