--- a/src/main/java/ironwind/Logic.java
+++ b/src/main/java/ironwind/Logic.java
@@ -14,9 +14,9 @@
 import java.util.function.BiConsumer;
 
 /**
- * All decisions of one router. A front (today the wire's adapter) makes one instance per router, brings every
- * event of a batch through {@link Inbound}, then calls {@link #settle}; the module answers through {@link
- * Outbound}. Both stand in {@code ironwind.model}, with the state that only this class writes. It reads no
+ * All decisions of one router. A front (the wire's adapter, or a real router) makes one instance per router,
+ * brings every event of a batch through {@link Inbound}, then calls {@link #settle}; the module answers through
+ * {@link Outbound}. Both stand in {@code ironwind.model}, with the state that only this class writes. It reads no
  * clock but the batch's, draws chance from its seed alone, and is not safe for use by several threads.
  *
  * <p>The ordinary path is the log-position gate of docs/design.md: see {@link #choose}. Whatever is proposed,
--- a/src/main/java/ironwind/net/ClientConnection.java
+++ b/src/main/java/ironwind/net/ClientConnection.java
@@ -23,6 +23,7 @@
     private final Frames frames = new Frames(true, Pg.LARGEST_MESSAGE);
     private final Deque<Exchange> exchanges = new ArrayDeque<>();
     private boolean skipping;
+    private boolean proceeding;
     private boolean paused;
     /** How the connection is to end once all that it brought is answered; null while more may come. */
     private Ending closing;
@@ -32,33 +33,50 @@
         this.socket = socket;
         this.clients = clients;
         socket.handler(this::received);
-        socket.drainHandler(nothing -> pace());
+        socket.drainHandler(nothing -> proceed());
         socket.closeHandler(nothing -> closed(Ending.CLIENT_LEFT));
         socket.exceptionHandler(fault -> closed(Ending.CLIENT_LEFT));
     }
 
     private void received(Buffer buffer) {
-        if (closing == Ending.CLIENT_MALFORMED) {
+        frames.add(buffer.getBytes());
+        proceed();
+    }
+
+    /** Takes what has come, but no more while the client is far ahead of its answers or does not read them. */
+    private void proceed() {
+        if (proceeding) {
             return;
         }
+        proceeding = true;
         try {
-            frames.add(buffer.getBytes());
-            for (Frame frame = frames.next(); frame != null && !closed; frame = frames.next()) {
+            Frame frame = next();
+            while (frame != null) {
                 take(ClientMessage.decode(frame));
+                frame = next();
             }
-            pace();
         } catch (PgFault fault) {
             clients.malformed(fault);
             closing = Ending.CLIENT_MALFORMED;
             add(null).answer(Encoder.fatal(new Failure(fault.code, fault.getMessage(), null)));
+        } finally {
+            proceeding = false;
         }
+        pace();
+        closeIfDone();
+    }
+
+    private Frame next() {
+        return closed || closing == Ending.CLIENT_MALFORMED || hasEnough() ? null : frames.next();
+    }
+
+    private boolean hasEnough() {
+        return exchanges.size() >= MOST_AHEAD || socket.writeQueueFull();
     }
 
-    /** Reads no more while the client has too much ahead of its answers, or does not read those. */
     private void pace() {
-        boolean enough = exchanges.size() >= MOST_AHEAD || socket.writeQueueFull();
-        if (!closed && enough != paused) {
-            paused = enough;
+        if (!closed && hasEnough() != paused) {
+            paused = !paused;
             if (paused) {
                 socket.pause();
             } else {
@@ -106,8 +124,7 @@
         while (!exchanges.isEmpty() && exchanges.peek().isAnswered()) {
             write(exchanges.poll().takeAnswer());
         }
-        pace();
-        closeIfDone();
+        proceed();
     }
 
     /** Closes the connection between two requests, now or once what it has brought is answered. */
--- a/src/test/java/ironwind/net/RouterTest.java
+++ b/src/test/java/ironwind/net/RouterTest.java
@@ -30,6 +30,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.Arrays;
+import java.util.Collections;
 import java.util.HexFormat;
 import java.util.List;
 import java.util.Map;
@@ -260,6 +261,25 @@
         assertThat(replica.ends.take()).isEqualTo("closed by the router");
     }
 
+    /** Guards against a client that asks without end and waits for no answer: it is read as it is answered. */
+    @Test
+    void aClientFarAheadOfItsAnswersIsNotReadFrom() throws Exception {
+        replica.acts = new String[] {"wait"};
+        primary.acts = replica.acts;
+        Wire client = client();
+        Wire other = admitted();
+        client.send(Collections.nCopies(20, 0).stream().map(i -> ask(READ, 5_000)).toArray(byte[][]::new));
+        do {
+            other.send(Encoder.query("SHOW stats"));
+            other.answer();
+        } while (!new String(other.lastData, StandardCharsets.UTF_8).contains("rpcs=16 "));
+        replica.released.countDown();
+        primary.released.countDown();
+        for (int i = 0; i < 20; i++) {
+            assertThat(client.answer()).isIn("TDCZ", "E53300 250");
+        }
+    }
+
     @Test
     void whatCameBeforeMalformedInputIsStillAnswered() throws Exception {
         replica.acts = new String[] {"wait"};
