Re-read: one reader of joined lists, one conversion from milliseconds, dead methods out; same actions

DeploymentReader and Names each split comma-joined lists: NamedValues.list serves both. Unix milliseconds became a Moment in two ways: Moment.ofMillis. The SQLSTATE of an abort is named beside the others; closeIfDone asks isIdle; a sending brings its own exchange to its end. Clients.close, Pg.int2 and Encoder.terminate had no caller in the program.

--- a/src/main/java/ironwind/model/Moment.java
+++ b/src/main/java/ironwind/model/Moment.java
@@ -5,6 +5,10 @@
     /** Before all that can happen. */
     public static final Moment NEVER = new Moment(Long.MIN_VALUE / 4);
 
+    public static Moment ofMillis(long ms) {
+        return new Moment(ms * 1_000);
+    }
+
     public Moment plus(Span span) {
         return new Moment(us + span.us());
     }
--- a/src/main/java/ironwind/net/ClientConnection.java
+++ b/src/main/java/ironwind/net/ClientConnection.java
@@ -134,7 +134,7 @@
     }
 
     private void closeIfDone() {
-        if (closing != null && exchanges.isEmpty() && (closing == Ending.CLIENT_MALFORMED || !frames.midway())) {
+        if (isIdle() && closing != null || exchanges.isEmpty() && closing == Ending.CLIENT_MALFORMED) {
             closed(closing);
         }
     }
--- a/src/main/java/ironwind/net/Clients.java
+++ b/src/main/java/ironwind/net/Clients.java
@@ -148,8 +148,4 @@
             whenGone.run();
         }
     }
-
-    Future<Void> close() {
-        return server.close();
-    }
 }
--- a/src/main/java/ironwind/net/Discovery.java
+++ b/src/main/java/ironwind/net/Discovery.java
@@ -14,7 +14,6 @@
 import ironwind.model.Host.Listing;
 import ironwind.model.Moment;
 import ironwind.model.RosterEntry;
-import ironwind.model.Span;
 import ironwind.net.Counters.Count;
 import ironwind.start.Address;
 import ironwind.start.Names;
@@ -135,7 +134,7 @@
             default -> throw new IllegalArgumentException("unknown state " + state);
         };
         long startedMs = server.getLong("started_ms", 0L);
-        Moment started = startedMs == 0 ? Moment.NEVER : new Moment(0).plus(Span.ofMillis(startedMs));
+        Moment started = startedMs == 0 ? Moment.NEVER : Moment.ofMillis(startedMs);
         return new RosterEntry(server.getString("id"), index(names.zones(), server.getString("zone")),
                 index(names.kinds(), server.getString("kind")), server.getInteger("cell", 0), listing,
                 server.getDouble("weight", 1.0), started, PRIMARY.equals(server.getString("role")));
--- a/src/main/java/ironwind/net/LogicTask.java
+++ b/src/main/java/ironwind/net/LogicTask.java
@@ -33,7 +33,8 @@
  */
 final class LogicTask implements Outbound {
     private static final Failure PUSHED_BACK = new Failure(Failure.TOO_MANY, "pushed back: try again later", null);
-    private static final Failure ABORTED = new Failure("40003", "aborted: it may or may not have run", null);
+    private static final Failure ABORTED = new Failure(Failure.OUTCOME_UNKNOWN, "aborted: it may or may not have run",
+            null);
 
     private final Context context;
     private final Timers timers;
@@ -117,7 +118,7 @@
         put(exchange, time -> {
             Rpc rpc = new Rpc(asked.id, asked.method, asked.customer, logic.group(asked.group), asked.session, time,
                     time.plus(Span.ofMillis(asked.waits)),
-                    asked.after <= 0 ? Moment.NEVER : new Moment(0).plus(Span.ofMillis(asked.after)), asked.repeat);
+                    asked.after <= 0 ? Moment.NEVER : Moment.ofMillis(asked.after), asked.repeat);
             exchange.rpc = rpc;
             exchanges.put(rpc, exchange);
             Span longest = rpc.deadline.plus(answerSlack).since(time);
@@ -144,8 +145,6 @@
         });
     }
 
-    // ---- what the module asks for
-
     /** The connection of a sending has come up: it is written if the module still stands by it. */
     void up(Sending sending) {
         put(sending.exchange, time -> {
@@ -161,19 +160,20 @@
 
     void ended(Sending sending, Ending ending, HostWord word) {
         counters.add(ending);
-        put(sending.exchange, time -> close(time, sending.callOut, ending, word));
+        put(sending.exchange, time -> close(time, sending, ending, word));
     }
 
     void probed(Host host, boolean answered, Role role, Moment position) {
         put(null, time -> logic.probed(time, host, answered, role, position));
     }
 
-    private void close(Moment time, CallOut callOut, Ending ending, HostWord word) {
+    private void close(Moment time, Sending sending, Ending ending, HostWord word) {
+        CallOut callOut = sending.callOut;
         Rpc rpc = callOut.rpc;
         Outcome outcome = ending.outcome();
         sendings.remove(callOut);
         boolean open = rpc.stage != Rpc.Stage.OVER;
-        if (outcome == Outcome.OK && open && exchanges.get(rpc).answer(Encoder.row(word.row()))) {
+        if (outcome == Outcome.OK && open && sending.exchange.answer(Encoder.row(word.row()))) {
             counters.add(Count.OK);
         }
         Role role = word == null ? Role.UNTOLD : word.role();
@@ -182,6 +182,8 @@
         forget(rpc);
     }
 
+    // ---- what the module asks for
+
     @Override
     public void send(CallOut callOut, Span limit) {
         counters.add(Count.CALL_OUTS);
--- a/src/main/java/ironwind/pg/Encoder.java
+++ b/src/main/java/ironwind/pg/Encoder.java
@@ -62,8 +62,4 @@
     public static byte[] query(String sql) {
         return new Writer().begin('Q').text(sql).end().bytes();
     }
-
-    public static byte[] terminate() {
-        return new Writer().begin('X').end().bytes();
-    }
 }
--- a/src/main/java/ironwind/pg/Failure.java
+++ b/src/main/java/ironwind/pg/Failure.java
@@ -7,4 +7,5 @@
     public static final String MISPLACED_WRITE = "25006";
     public static final String TOO_FAR_BEHIND = "72000";
     public static final String INTERNAL = "XX000";
+    public static final String OUTCOME_UNKNOWN = "40003";
 }
--- a/src/main/java/ironwind/pg/Pg.java
+++ b/src/main/java/ironwind/pg/Pg.java
@@ -20,10 +20,6 @@
                 | bytes[at + 3] & 0xff;
     }
 
-    static int int2(byte[] bytes, int at) {
-        return (bytes[at] & 0xff) << 8 | bytes[at + 1] & 0xff;
-    }
-
     /** The text from here to its zero byte. */
     static String text(byte[] bytes, int at) {
         int end = at;
--- a/src/main/java/ironwind/start/DeploymentReader.java
+++ b/src/main/java/ironwind/start/DeploymentReader.java
@@ -26,8 +26,8 @@
     }
 
     public static Deployment read(NamedValues from) {
-        String[] levels = split(from.text("extra.read_level"));
-        String[] bounds = split(from.text("extra.lag_allowed_us"));
+        List<String> levels = from.list("extra.read_level");
+        List<String> bounds = from.list("extra.lag_allowed_us");
         List<Method> methods = new ArrayList<>();
         int count = from.needSmall("lanes.count");
         for (int i = 0; i < count; i++) {
@@ -38,8 +38,8 @@
             String scope = from.text(at + "key_scope");
             methods.add(new Method(i,
                     pick(from, at + "effect", EFFECTS, from.need(at + "effect")),
-                    i < levels.length ? pick(from, "extra.read_level", LEVELS, levels[i]) : Freshness.ANY,
-                    new Span(i < bounds.length ? from.parseWhole("extra.lag_allowed_us", bounds[i]) : 0),
+                    i < levels.size() ? pick(from, "extra.read_level", LEVELS, levels.get(i)) : Freshness.ANY,
+                    new Span(i < bounds.size() ? from.parseWhole("extra.lag_allowed_us", bounds.get(i)) : 0),
                     new Span(goal), new Span(deadline), worth, worth * from.number(at + "late_worth", 0),
                     "all".equals(scope), new Span(from.whole(at + "window_us", 0))));
         }
@@ -49,14 +49,13 @@
         }
         String via = from.text("reporting.via");
         boolean reports = via != null && !via.equals("off");
-        String fields = from.text("reporting.fields");
         String checks = from.text("extra.when_behind");
         return new Deployment(methods, customers,
                 Math.max(1, from.small("peers_total", 1)),
                 new Span(from.whole("period_us", 0)),
                 checks == null ? HostChecks.NONE : pick(from, "extra.when_behind", CHECKS, checks),
                 from.flag("caps.may_probe"),
-                reports && List.of(split(fields)).contains("x0"),
+                reports && from.list("reporting.fields").contains("x0"),
                 "router".equals(from.text("extra.token_mode")),
                 from.flag("caps.cancel"),
                 from.flag("caps.parallel_tries"),
@@ -73,10 +72,6 @@
                 new Span(from.whole("rules.fall_us", 0)));
     }
 
-    private static String[] split(String list) {
-        return list == null || list.isEmpty() ? new String[0] : list.split(",", -1);
-    }
-
     private static <T> T pick(NamedValues from, String key, Map<String, T> words, String word) {
         T value = words.get(word);
         if (value == null) {
--- a/src/main/java/ironwind/start/NamedValues.java
+++ b/src/main/java/ironwind/start/NamedValues.java
@@ -1,5 +1,7 @@
 package ironwind.start;
 
+import java.util.List;
+
 /** A flat view of names and values, such as the fields of a line, or nested settings with their paths as names. */
 public interface NamedValues {
     /** The value of this name, or null where it is absent. */
@@ -43,6 +45,12 @@
         return value == null ? absent : parseNumber(key, value);
     }
 
+    /** The items of a list joined by commas; none where it is empty or absent. */
+    default List<String> list(String key) {
+        String value = text(key);
+        return value == null || value.isEmpty() ? List.of() : List.of(value.split(",", -1));
+    }
+
     default boolean flag(String key) {
         String value = text(key);
         if (value == null || value.equals("0") || value.equals("false")) {
--- a/src/main/java/ironwind/start/Names.java
+++ b/src/main/java/ironwind/start/Names.java
@@ -20,10 +20,6 @@
         for (Customer customer : deployment.customers()) {
             customers.put(from.need("tenants." + customer.index() + ".name"), customer);
         }
-        return new Names(methods, customers, list(from.text("zones")), list(from.text("kinds")));
-    }
-
-    private static List<String> list(String joined) {
-        return joined == null || joined.isEmpty() ? List.of() : List.of(joined.split(",", -1));
+        return new Names(methods, customers, from.list("zones"), from.list("kinds"));
     }
 }
--- a/src/test/java/ironwind/pg/PgTest.java
+++ b/src/test/java/ironwind/pg/PgTest.java
@@ -48,7 +48,7 @@
     @Test
     void messagesAreTheSameHoweverTheyAreSplit() {
         byte[] all = joined(Encoder.startup("client", "core"), Encoder.query("/* id=1 */ SELECT 'é'"),
-                Encoder.query(""), Encoder.terminate());
+                Encoder.query(""), bytes("58 00000004"));
         List<ClientMessage> whole = messages(all);
         assertThat(whole).extracting(Object::getClass).containsExactly(ClientMessage.Startup.class,
                 ClientMessage.Query.class, ClientMessage.Query.class, ClientMessage.Terminate.class);
