--- a/src/main/java/ironwind/Logic.java
+++ b/src/main/java/ironwind/Logic.java
@@ -183,7 +183,7 @@
             absent.remove(host);
             if (host.group == null) {
                 host.room.limit = FIRST_LIMIT;
-                host.group = group(entry.group());
+                host.group = groups.computeIfAbsent(entry.group(), Group::new);
                 host.group.members.add(host);
                 host.group.members.sort(Comparator.comparing(h -> h.id));
                 host.group.following.limit = firstOf(host.group.members.size());
@@ -1022,6 +1022,6 @@
 
     @Override
     public Group group(int number) {
-        return groups.computeIfAbsent(number, Group::new);
+        return groups.get(number);
     }
 }
--- a/src/main/java/ironwind/adapter/RouterDoor.java
+++ b/src/main/java/ironwind/adapter/RouterDoor.java
@@ -69,7 +69,9 @@
         Moment token = tokenAge <= 0 ? Moment.NEVER : now.minus(new Span((long) Math.floor(tokenAge * 1_000)));
         Moment deadline = new Moment(line.whole("not_after_us", now.plus(method.deadline()).us()));
         guard(() -> {
-            Group group = logic.group((int) line.number("cluster", 0));
+            int number = (int) line.number("cluster", 0);
+            Group listed = logic.group(number);
+            Group group = listed == null ? new Group(number) : listed;
             Rpc rpc = new Rpc(id, method, customer, group, line.text("conn_key"), now, deadline, token,
                     line.flag("repeat"));
             rpcs.put(id, rpc);
--- a/src/main/java/ironwind/cli/Main.java
+++ b/src/main/java/ironwind/cli/Main.java
@@ -13,6 +13,7 @@
 import java.io.PrintStream;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Path;
+import sun.misc.Signal;
 
 /** The command line: a subcommand, or {@code --help} or {@code --version}. */
 public final class Main {
@@ -47,7 +48,9 @@
             if (file == null) {
                 throw new StartFault("ROUTER_CONFIG names no file");
             }
-            Router router = new Router(StartFacts.read(Path.of(file)), new Log(errors));
+            Log log = new Log(errors).withLibraries();
+            Router router = new Router(StartFacts.read(Path.of(file)), log);
+            Signal.handle(new Signal("HUP"), signal -> reload(router, file, log));
             router.start().await();
             Runtime.getRuntime().addShutdownHook(new Thread(() -> {
                 router.drain().await();
@@ -62,6 +65,15 @@
         }
     }
 
+    /** A file that can't be read or is not whole leaves what holds in force. */
+    private static void reload(Router router, String file, Log log) {
+        try {
+            router.reload(StartFacts.read(Path.of(file)));
+        } catch (RuntimeException e) {
+            log.warn("reload_failed", "cause", e instanceof StartFault ? e.getMessage() : e);
+        }
+    }
+
     static int run(String[] args, InputStream in, OutputStream out, PrintStream errors) throws IOException {
         String word = args.length == 1 ? args[0] : "";
         switch (word) {
--- a/src/main/java/ironwind/model/Inbound.java
+++ b/src/main/java/ironwind/model/Inbound.java
@@ -10,7 +10,7 @@
     /** The host of this id, or null where no list has named it. */
     Host host(String id);
 
-    /** The group of this number, made on first mention. */
+    /** The group of this number, or null where no list has named it. */
     Group group(int number);
 
     /** A client's RPC has come. */
--- a/src/main/java/ironwind/net/ClientConnection.java
+++ b/src/main/java/ironwind/net/ClientConnection.java
@@ -2,6 +2,8 @@
 
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.net.NetSocket;
+import ironwind.model.Moment;
+import ironwind.model.Span;
 import ironwind.pg.ClientMessage;
 import ironwind.pg.Encoder;
 import ironwind.pg.Failure;
@@ -17,16 +19,23 @@
 final class ClientConnection {
     /** Commands of a client that are read ahead of the answer to the first: each may hold a value in memory. */
     private static final int MOST_AHEAD = 16;
+    /** Time to read a fatal error: what is closed with input unread takes back what was written. */
+    private static final Span FAREWELL = Span.ofMillis(300);
 
     private final NetSocket socket;
     private final Clients clients;
-    private final Frames frames = new Frames(true, Pg.LARGEST_MESSAGE);
+    private final Frames frames = new Frames(true, ClientMessage.TYPES, Pg.LARGEST_MESSAGE);
     private final Deque<Exchange> exchanges = new ArrayDeque<>();
+    private boolean started;
+    private boolean served;
     private boolean skipping;
+    /** Since when it has waited for what it waits for now: a start-up, the rest of a message, a command. */
+    private Moment since = Clock.read();
     private boolean proceeding;
     private boolean paused;
     /** How the connection is to end once all that it brought is answered; null while more may come. */
     private Ending closing;
+    private boolean parting;
     private boolean closed;
 
     ClientConnection(NetSocket socket, Clients clients) {
@@ -39,7 +48,14 @@
     }
 
     private void received(Buffer buffer) {
+        if (closing == Ending.CLIENT_MALFORMED) {
+            return;
+        }
+        boolean idle = isIdle();
         frames.add(buffer.getBytes());
+        if (idle && started) {
+            since = Clock.read();
+        }
         proceed();
     }
 
@@ -56,9 +72,7 @@
                 frame = next();
             }
         } catch (PgFault fault) {
-            clients.malformed(fault);
-            closing = Ending.CLIENT_MALFORMED;
-            add(null).answer(Encoder.fatal(new Failure(fault.code, fault.getMessage(), null)));
+            fail(fault);
         } finally {
             proceeding = false;
         }
@@ -66,6 +80,17 @@
         closeIfDone();
     }
 
+    /** The connection ends in an error, after the answers that are owed before it. */
+    void fail(PgFault fault) {
+        if (closed || closing == Ending.CLIENT_MALFORMED) {
+            return;
+        }
+        clients.malformed(fault);
+        closing = Ending.CLIENT_MALFORMED;
+        frames.clear();
+        add(null).answer(Encoder.fatal(new Failure(fault.code, fault.getMessage(), null)));
+    }
+
     private Frame next() {
         return closed || closing == Ending.CLIENT_MALFORMED || hasEnough() ? null : frames.next();
     }
@@ -75,7 +100,7 @@
     }
 
     private void pace() {
-        if (!closed && hasEnough() != paused) {
+        if (!closed && !parting && hasEnough() != paused) {
             paused = !paused;
             if (paused) {
                 socket.pause();
@@ -90,15 +115,19 @@
             command(query.sql());
         } else if (message instanceof ClientMessage.Startup) {
             frames.started();
+            started = true;
+            since = Clock.read();
             write(Encoder.welcome());
         } else if (message instanceof ClientMessage.Encryption) {
             write(Encoder.noEncryption());
         } else if (message instanceof ClientMessage.Extended) {
-            skipping = true;
+            if (!skipping) {
+                skipping = true;
+                refuse(new PgFault(PgFault.UNSUPPORTED, "only simple queries are spoken here"), false);
+            }
         } else if (message instanceof ClientMessage.Sync) {
-            Failure failure = new Failure(PgFault.UNSUPPORTED, "only simple queries are spoken here", null);
-            add(null).answer(skipping ? Encoder.failure(failure) : Encoder.ready());
             skipping = false;
+            add(null).answer(Encoder.ready());
         } else {
             closed(Ending.CLIENT_LEFT);
         }
@@ -108,11 +137,17 @@
         try {
             clients.command(this, sql);
         } catch (PgFault fault) {
-            clients.malformed(fault);
-            add(null).answer(Encoder.failure(new Failure(fault.code, fault.getMessage(), null)));
+            refuse(fault, true);
         }
     }
 
+    /** One command is answered with an error; those that follow are taken as ever. */
+    private void refuse(PgFault fault, boolean ready) {
+        clients.malformed(fault);
+        Failure failure = new Failure(fault.code, fault.getMessage(), null);
+        add(null).answer(ready ? Encoder.failure(failure) : Encoder.error(failure));
+    }
+
     Exchange add(Statement statement) {
         Exchange exchange = new Exchange(this, statement);
         exchanges.add(exchange);
@@ -122,7 +157,9 @@
     /** Passes on what is answered, in the order of the commands. */
     void flush() {
         while (!exchanges.isEmpty() && exchanges.peek().isAnswered()) {
+            served |= exchanges.peek().rpc != null;
             write(exchanges.poll().takeAnswer());
+            since = Clock.read();
         }
         proceed();
     }
@@ -134,7 +171,11 @@
     }
 
     private void closeIfDone() {
-        if (isIdle() && closing != null || exchanges.isEmpty() && closing == Ending.CLIENT_MALFORMED) {
+        if (exchanges.isEmpty() && closing == Ending.CLIENT_MALFORMED && !closed && !parting) {
+            parting = true;
+            socket.pause();
+            clients.later(FAREWELL, () -> closed(closing));
+        } else if (isIdle() && closing == Ending.CLIENT_DISMISSED) {
             closed(closing);
         }
     }
@@ -143,6 +184,29 @@
         return exchanges.isEmpty() && !frames.midway();
     }
 
+    /** Whether it waits for the rest of something: a start-up, or a message that has begun. */
+    boolean isHalfway() {
+        return !parting && closing != Ending.CLIENT_MALFORMED && (!started || frames.midway());
+    }
+
+    Moment since() {
+        return since;
+    }
+
+    /** How well a connection is known, for which is to give way to others; null while it carries something. */
+    Standing standing() {
+        return parting ? Standing.PARTING : !started ? Standing.STRANGER
+                : !isIdle() ? null : served ? Standing.SERVED : Standing.GREETED;
+    }
+
+    /** From least to best known. */
+    enum Standing { PARTING, STRANGER, GREETED, SERVED }
+
+    /** Ends a connection that is to give way. */
+    void giveWay() {
+        closed(closing == null ? Ending.CLIENT_DISMISSED : closing);
+    }
+
     private void write(byte[] bytes) {
         if (!closed) {
             socket.write(Buffer.buffer(bytes));
--- a/src/main/java/ironwind/net/Clients.java
+++ b/src/main/java/ironwind/net/Clients.java
@@ -6,7 +6,10 @@
 import io.vertx.core.net.NetServerOptions;
 import io.vertx.core.net.NetSocket;
 import ironwind.model.Customer;
+import ironwind.model.Effect;
 import ironwind.model.Method;
+import ironwind.model.Moment;
+import ironwind.model.Span;
 import ironwind.net.Counters.Count;
 import ironwind.pg.Encoder;
 import ironwind.pg.PgFault;
@@ -15,14 +18,26 @@
 import ironwind.start.Names;
 import ironwind.start.StartFacts;
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Set;
 
 /** All connections of clients: what comes in on them becomes RPCs. */
 final class Clients {
+    /** In milliseconds, as far as times can be reckoned with. */
+    private static final long LONGEST_MS = Long.MAX_VALUE / 1_000_000;
     private static final String SHOW_COUNTERS = "SHOW stats";
 
+    /** LATER: a connection without an open request may be closed after 2 s, and what is malformed within 3 s. */
+    private static final Span PATIENCE = Span.ofMillis(2_000);
+    private static final long SWEEP_EVERY_MS = 250;
+    private static final Comparator<ClientConnection> LEAST_KNOWN =
+            Comparator.comparing(ClientConnection::standing).thenComparing(ClientConnection::since);
+    /** Of the settings' deadlines: what clients count in milliseconds may be rounded. */
+    private static final Span ROUNDING = Span.ofMillis(1);
+
+    private final Vertx vertx;
     private final NetServer server;
     private final StartFacts facts;
     private final int most;
@@ -38,12 +53,14 @@
 
     Clients(Vertx vertx, StartFacts facts, int most, LogicTask logic, Counters counters, Log log) {
         this.server = vertx.createNetServer(new NetServerOptions().setTcpNoDelay(true));
+        this.vertx = vertx;
         this.facts = facts;
         this.most = most;
         this.logic = logic;
         this.counters = counters;
         this.log = log;
         server.connectHandler(this::connected);
+        vertx.setPeriodic(SWEEP_EVERY_MS, timer -> sweep());
     }
 
     Future<NetServer> listen() {
@@ -63,11 +80,8 @@
 
     private void connected(NetSocket socket) {
         counters.add(Count.CLIENTS);
-        if (open.size() >= most && !dismissOne()) {
-            log.warn("client_refused", "open", open.size());
-            counters.add(Ending.CLIENT_REFUSED);
-            socket.close();
-            return;
+        if (open.size() >= most) {
+            makeRoom();
         }
         ClientConnection client = new ClientConnection(socket, this);
         open.add(client);
@@ -76,15 +90,38 @@
         }
     }
 
-    /** Makes room by closing the oldest connection that carries nothing. */
-    private boolean dismissOne() {
+    /** The least known connection that carries nothing gives way, among equals the one that has waited longest. */
+    private void makeRoom() {
+        ClientConnection least = null;
         for (ClientConnection client : open) {
-            if (client.isIdle()) {
-                client.dismiss();
-                return true;
+            if (client.standing() != null && (least == null || LEAST_KNOWN.compare(client, least) < 0)) {
+                least = client;
             }
         }
-        return false;
+        if (least == null) {
+            log.warn("clients_full", "open", open.size());
+        } else {
+            least.giveWay();
+        }
+    }
+
+    /** Ends what is not worth its descriptor any longer. */
+    private void sweep() {
+        Moment before = Clock.read().minus(PATIENCE);
+        for (ClientConnection client : new ArrayList<>(open)) {
+            if (client.since().before(before)) {
+                if (client.isHalfway()) {
+                    client.fail(new PgFault(PgFault.TOO_SLOW, "waited too long for the rest of a message"));
+                } else if (client.standing() == ClientConnection.Standing.GREETED
+                        || client.standing() == ClientConnection.Standing.SERVED && 2 * open.size() > most) {
+                    client.giveWay();
+                }
+            }
+        }
+    }
+
+    void later(Span span, Runnable action) {
+        vertx.setTimer(Timers.millis(span), timer -> action.run());
     }
 
     /** Takes one command; a {@link PgFault} tells what is wrong with it. */
@@ -111,10 +148,18 @@
         Method method = known(names.methods().get(statement.need("c")), "c");
         Customer customer = names.customers().isEmpty() ? null
                 : known(names.customers().get(statement.need("t")), "t");
+        Span waits = Span.ofMillis(statement.needWhole("d", 1, LONGEST_MS));
+        if (waits.longerThan(method.deadline().plus(facts.answerSlack()).plus(ROUNDING))) {
+            throw new PgFault(PgFault.SYNTAX, "the comment's d is longer than any deadline of its method");
+        }
+        if (method.effect() == Effect.TOKENED) {
+            statement.need("k");
+        }
+        long after = statement.facts().containsKey("after") ? statement.needWhole("after", 0, LONGEST_MS) : 0;
         LogicTask.Asked asked = new LogicTask.Asked(statement.need("id"), method, customer,
-                (int) statement.needWhole("cluster"), statement.key(), statement.needWhole("d"),
-                statement.facts().containsKey("after") ? statement.needWhole("after") : 0,
+                (int) statement.needWhole("cluster", 0, Integer.MAX_VALUE), statement.key(), waits, after,
                 "1".equals(statement.facts().get("r")));
+        logic.check(asked);
         logic.arrived(client.add(statement), asked);
     }
 
--- a/src/main/java/ironwind/net/Discovery.java
+++ b/src/main/java/ironwind/net/Discovery.java
@@ -35,8 +35,8 @@
     private static final long RETRY_MS = 100;
 
     private final Vertx vertx;
-    private final HttpClientAgent client;
-    private final Address address;
+    private HttpClientAgent client;
+    private Address address;
     private final Names names;
     private final LogicTask logic;
     private final HostConnections hosts;
@@ -55,7 +55,11 @@
         this.hosts = hosts;
         this.counters = counters;
         this.log = log;
-        this.client = vertx.createHttpClient(new HttpClientOptions(), new PoolOptions().setHttp1MaxSize(1));
+        this.client = newClient();
+    }
+
+    private HttpClientAgent newClient() {
+        return vertx.createHttpClient(new HttpClientOptions(), new PoolOptions().setHttp1MaxSize(1));
     }
 
     /** Tells what the router knew at its start, then asks for more; runs the action on the first answer. */
@@ -66,10 +70,23 @@
         ask();
     }
 
+    /** Leaves the present watch, and what it may still say, and asks for a full list at the new address. */
+    void moveTo(Address next) {
+        if (!stopped && !next.equals(address)) {
+            HttpClientAgent left = client;
+            address = next;
+            client = newClient();
+            version = -1;
+            ask();
+            left.close();
+        }
+    }
+
     private void ask() {
         if (stopped) {
             return;
         }
+        HttpClientAgent asked = client;
         boolean watch = version >= 0;
         String uri = watch ? PATH + "?after=" + version + "&wait_ms=" + WAIT_MS : PATH;
         long patience = GRACE_MS + (watch ? WAIT_MS : 0);
@@ -78,15 +95,18 @@
                         .setURI(uri).setConnectTimeout(GRACE_MS).setIdleTimeout(patience))
                 .compose(request -> request.send().expecting(HttpResponseExpectation.SC_OK))
                 .compose(HttpClientResponse::body)
-                .onSuccess(this::answered)
-                .onFailure(this::failed);
+                .onSuccess(body -> answered(asked, body))
+                .onFailure(cause -> failed(asked, cause));
     }
 
-    private void answered(Buffer body) {
+    private void answered(HttpClientAgent asked, Buffer body) {
+        if (asked != client) {
+            return;
+        }
         try {
             tell(body.toJsonObject());
         } catch (RuntimeException malformed) {
-            failed(malformed);
+            failed(asked, malformed);
             return;
         }
         if (failing) {
@@ -98,12 +118,19 @@
         ask();
     }
 
-    private void failed(Throwable cause) {
-        if (!failing && !stopped) {
+    private void failed(HttpClientAgent asked, Throwable cause) {
+        if (asked != client || stopped) {
+            return;
+        }
+        if (!failing) {
             log.warn("discovery_failed", "cause", cause);
             failing = true;
         }
-        vertx.setTimer(RETRY_MS, timer -> ask());
+        vertx.setTimer(RETRY_MS, timer -> {
+            if (asked == client) {
+                ask();
+            }
+        });
     }
 
     /** Reads all of an answer before any of it counts. */
--- a/src/main/java/ironwind/net/Ending.java
+++ b/src/main/java/ironwind/net/Ending.java
@@ -12,9 +12,9 @@
     // what the router gave up itself
     TIMED_OUT, CALLED_OFF, LAPSED,
     // connections that carried nothing then
-    IDLE_CLOSED, CLOSED_BY_HOST,
+    IDLE_CLOSED, CLOSED_BY_HOST, SURPLUS,
     // connections of clients
-    CLIENT_LEFT, CLIENT_DISMISSED, CLIENT_MALFORMED, CLIENT_REFUSED;
+    CLIENT_LEFT, CLIENT_DISMISSED, CLIENT_MALFORMED;
 
     /** What the use of a connection comes to for the decision module; null where no call-out can be on it. */
     public Outcome outcome() {
@@ -28,7 +28,7 @@
             case TIMED_OUT -> Outcome.EXPIRED;
             case CALLED_OFF -> Outcome.CANCELLED;
             case LAPSED -> Outcome.UNSENT;
-            case IDLE_CLOSED, CLOSED_BY_HOST, CLIENT_LEFT, CLIENT_DISMISSED, CLIENT_MALFORMED, CLIENT_REFUSED -> null;
+            case IDLE_CLOSED, CLOSED_BY_HOST, SURPLUS, CLIENT_LEFT, CLIENT_DISMISSED, CLIENT_MALFORMED -> null;
         };
     }
 
--- a/src/main/java/ironwind/net/Exchange.java
+++ b/src/main/java/ironwind/net/Exchange.java
@@ -9,6 +9,8 @@
     /** What was asked; null where no RPC came of it. */
     final Statement statement;
     Rpc rpc;
+    /** Runs out where an answer is owed and does not come. */
+    Timers.Timer guard;
     private boolean answered;
     private byte[] answer;
 
@@ -24,6 +26,9 @@
         }
         answered = true;
         answer = bytes;
+        if (guard != null) {
+            guard.cancel();
+        }
         client.flush();
         return true;
     }
--- a/src/main/java/ironwind/net/HostConnection.java
+++ b/src/main/java/ironwind/net/HostConnection.java
@@ -18,10 +18,12 @@
 
     final String hostId;
     private final HostConnections pool;
-    private final Frames frames = new Frames(false, Pg.LARGEST_MESSAGE);
+    private final Frames frames = new Frames(false, HostMessage.TYPES, Pg.LARGEST_MESSAGE);
     private NetSocket socket;
     private boolean up;
     private boolean closed;
+    /** Whether the rest of a message is being waited for. */
+    private boolean limited;
     private Use use;
     private HostWord word = new HostWord();
     private Future<Void> written;
@@ -47,14 +49,18 @@
     }
 
     /** The socket is there: says hello, and waits for the host's welcome. */
-    void opened(NetSocket opened) {
+    void opened(NetSocket opened, Runnable whenClosed) {
         socket = opened;
         if (closed) {
+            socket.closeHandler(nothing -> whenClosed.run());
             socket.close();
             return;
         }
         socket.handler(this::received);
-        socket.closeHandler(nothing -> broken());
+        socket.closeHandler(nothing -> {
+            whenClosed.run();
+            broken();
+        });
         socket.exceptionHandler(fault -> broken());
         socket.write(Buffer.buffer(Encoder.startup(USER, DATABASE)));
     }
@@ -87,6 +93,15 @@
     }
 
     private void received(Buffer buffer) {
+        if (closed) {
+            return;
+        }
+        if (up && !wasWritten()) {
+            // More than an answer, or ahead of its request: nothing that comes here can be told apart any more.
+            pool.surplus(this, buffer.length());
+            end(use == null ? Ending.SURPLUS : Ending.BROKE_UNWRITTEN);
+            return;
+        }
         try {
             frames.add(buffer.getBytes());
             for (Frame frame = frames.next(); frame != null && !closed; frame = frames.next()) {
@@ -97,8 +112,23 @@
                     word.hear(message);
                 }
             }
+            if (!closed && frames.midway() && !limited) {
+                limited = true;
+                pool.later(() -> {
+                    limited = false;
+                    stuck();
+                });
+            }
         } catch (PgFault fault) {
             pool.garbled(this, fault);
+            end(use == null ? Ending.SURPLUS : wasWritten() ? Ending.GARBLED : Ending.BROKE_UNWRITTEN);
+        }
+    }
+
+    /** Guards against an answer that has begun and never ends: its host is not silent, and all others wait. */
+    private void stuck() {
+        if (!closed && frames.midway()) {
+            pool.garbled(this, new PgFault(PgFault.PROTOCOL, "a message stays without its end"));
             end(wasWritten() ? Ending.GARBLED : Ending.BROKE_UNWRITTEN);
         }
     }
@@ -107,18 +137,24 @@
         if (!up) {
             up = true;
             word = new HostWord();
-            if (use == null) {
+            if (frames.midway()) {
+                throw new PgFault(PgFault.PROTOCOL, "more than a welcome");
+            } else if (use == null) {
                 pool.idle(this);
             } else {
                 use.up();
             }
-        } else if (use != null && written != null) {
+        } else {
             Use done = use;
             HostWord said = word;
             use = null;
             written = null;
             word = new HostWord();
-            pool.idle(this);
+            if (frames.midway() || !said.isWhole()) {
+                close();
+            } else {
+                pool.idle(this);
+            }
             done.ended(said.ending(), said);
         }
     }
--- a/src/main/java/ironwind/net/HostConnections.java
+++ b/src/main/java/ironwind/net/HostConnections.java
@@ -20,12 +20,16 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.function.Predicate;
 
 /** All connections to hosts: one request at a time on each, a new one only where none is idle. */
 final class HostConnections {
     /** Of the time after which a host closes an idle connection: a request that crosses the close would be lost. */
     private static final double IDLE_PART = 0.75;
 
+    /** What a host sends behind an answer of its own accord has come by then. */
+    private static final Span QUIET = Span.ofMillis(3);
+
     private final Vertx vertx;
     private final NetClient client;
     private final Span connectTime;
@@ -36,6 +40,8 @@
     private final Map<String, Address> addresses = new HashMap<>();
     private final Map<String, Deque<HostConnection>> idle = new LinkedHashMap<>();
     private final Set<HostConnection> open = new HashSet<>();
+    /** Sockets that are coming up, open or not yet closed: what descriptors are counted by. */
+    private int sockets;
 
     HostConnections(Vertx vertx, StartFacts facts, int most, Counters counters, Log log) {
         this.vertx = vertx;
@@ -56,27 +62,35 @@
         }
     }
 
+    /** Lets go of all hosts that are not to be kept. */
+    void keep(Predicate<String> hostIds) {
+        addresses.keySet().removeIf(hostIds.negate());
+        idle.keySet().stream().filter(hostIds.negate()).toList().forEach(this::closeIdle);
+        idle.keySet().removeIf(hostIds.negate());
+    }
+
     /** Finds a connection for a use; it may have to come up first. Null where there is no socket for it. */
     HostConnection open(String hostId, HostConnection.Use use) {
-        Deque<HostConnection> free = idle.get(hostId);
-        if (free != null && !free.isEmpty()) {
-            HostConnection connection = free.pop();
-            connection.take(use);
-            return connection;
+        HostConnection quiet = quiet(hostId);
+        if (quiet != null) {
+            quiet.take(use);
+            return quiet;
         }
         Address address = addresses.get(hostId);
         if (address == null || !roomForOne()) {
-            log.warn("no_socket", "host", hostId, "address", address, "open", open.size(), "most", most);
+            log.warn("no_socket", "host", hostId, "address", address, "sockets", sockets, "most", most);
             return null;
         }
         HostConnection connection = new HostConnection(hostId, this, use);
         open.add(connection);
         counters.add(Count.HOST_CONNECTIONS);
         vertx.setTimer(Timers.millis(connectTime), timer -> connection.failed(Ending.NEVER_UP));
+        sockets++;
         client.connect(SocketAddress.inetSocketAddress(address.port(), address.ip())).onComplete(result -> {
             if (result.succeeded()) {
-                connection.opened(result.result());
+                connection.opened(result.result(), () -> sockets--);
             } else {
+                sockets--;
                 boolean refused = result.cause() instanceof ConnectException;
                 connection.failed(refused ? Ending.REFUSED : Ending.NEVER_UP);
             }
@@ -84,9 +98,24 @@
         return connection;
     }
 
+    /** One that has been idle long enough to show whether more came behind its last answer than belongs to it. */
+    private HostConnection quiet(String hostId) {
+        Deque<HostConnection> free = idle.get(hostId);
+        Moment before = Clock.read().minus(QUIET);
+        if (free != null) {
+            for (HostConnection connection : free) {
+                if (!connection.idleSince.after(before)) {
+                    free.remove(connection);
+                    return connection;
+                }
+            }
+        }
+        return null;
+    }
+
     /** Where all sockets are taken, one that is idle elsewhere gives way. */
     private boolean roomForOne() {
-        if (open.size() >= most) {
+        if (sockets >= most) {
             for (Deque<HostConnection> free : idle.values()) {
                 if (!free.isEmpty()) {
                     free.peekLast().close();
@@ -94,7 +123,7 @@
                 }
             }
         }
-        return open.size() < most;
+        return sockets < most;
     }
 
     void idle(HostConnection connection) {
@@ -114,6 +143,15 @@
         counters.add(ending);
     }
 
+    void surplus(HostConnection connection, int bytes) {
+        log.warn("host_surplus", "host", connection.hostId, "bytes", bytes);
+    }
+
+    /** After the time in which a host that runs lets a connection come up. */
+    void later(Runnable action) {
+        vertx.setTimer(Timers.millis(connectTime), timer -> action.run());
+    }
+
     void garbled(HostConnection connection, PgFault fault) {
         log.warn("host_garbled", "host", connection.hostId, "what", fault.getMessage());
     }
--- a/src/main/java/ironwind/net/HostWord.java
+++ b/src/main/java/ironwind/net/HostWord.java
@@ -2,7 +2,9 @@
 
 import ironwind.model.Moment;
 import ironwind.model.Role;
+import ironwind.model.Span;
 import ironwind.pg.HostMessage;
+import ironwind.pg.PgFault;
 import ironwind.pg.Row;
 import java.math.BigDecimal;
 import java.math.RoundingMode;
@@ -16,26 +18,38 @@
     /** Before or after the point: a Unix time in milliseconds has 13 for some centuries to come. */
     private static final int MOST_DIGITS = 15;
 
+    private static final Span ROUNDED_UP = Span.ofMillis(1);
+
     private byte[] description;
     private byte[] data;
-    private int rows;
     private String tag;
     private Ending failed;
     private final Map<String, String> parameters = new HashMap<>();
 
+    /** A {@link PgFault} tells what does not belong into one answer, or not at its place. */
     void hear(HostMessage message) {
         if (message instanceof HostMessage.Parameter parameter) {
             parameters.put(parameter.name(), parameter.value());
-        } else if (message instanceof HostMessage.Description part) {
+            return;
+        } else if (message instanceof HostMessage.Skipped) {
+            return;
+        }
+        boolean inPlace = failed == null && tag == null;
+        if (message instanceof HostMessage.Description part) {
+            inPlace &= description == null;
             description = part.body();
         } else if (message instanceof HostMessage.Data part) {
+            inPlace &= description != null && data == null;
             data = part.body();
-            rows++;
         } else if (message instanceof HostMessage.Complete complete) {
+            inPlace &= data != null;
             tag = complete.tag();
         } else if (message instanceof HostMessage.Failed error) {
             failed = Ending.of(error.failure());
         }
+        if (!inPlace) {
+            throw new PgFault(PgFault.PROTOCOL, "an answer's messages come out of their order");
+        }
     }
 
     /** How it ended, if no more comes. */
@@ -49,7 +63,7 @@
     }
 
     private boolean served() {
-        return description != null && rows == 1 && tag != null;
+        return tag != null;
     }
 
     Row row() {
@@ -65,8 +79,8 @@
     }
 
     /** The position it told, rounded down to what is sure; {@link Moment#NEVER} for none. */
-    Moment position() {
-        return moment(parameters.get("applied_ms"), MILLIS);
+    Moment position(Moment now) {
+        return moment(parameters.get("applied_ms"), MILLIS, now);
     }
 
     /** The role and position of a load report, which a probe's row holds. */
@@ -75,15 +89,19 @@
         return leads == null ? Role.UNTOLD : leads.compareTo(BigDecimal.ONE) >= 0 ? Role.PRIMARY : Role.REPLICA;
     }
 
-    Moment reportedPosition() {
-        return moment(reported("x0"), SECONDS);
+    Moment reportedPosition(Moment now) {
+        return moment(reported("x0"), SECONDS, now);
     }
 
     /** The decimals are read exactly: a position that came out too high would let a read see too little. */
-    private static Moment moment(String text, int digitsToMicros) {
+    private static Moment moment(String text, int digitsToMicros, Moment now) {
         BigDecimal number = number(text);
-        return number == null || number.signum() <= 0 ? Moment.NEVER
-                : new Moment(number.movePointRight(digitsToMicros).setScale(0, RoundingMode.FLOOR).longValue());
+        if (number == null || number.signum() <= 0) {
+            return Moment.NEVER;
+        }
+        Moment told = new Moment(number.movePointRight(digitsToMicros).setScale(0, RoundingMode.FLOOR).longValue());
+        // All machines read one clock: nothing can have been applied that is still to come.
+        return told.after(now.plus(ROUNDED_UP)) ? Moment.NEVER : told;
     }
 
     private String reported(String name) {
--- a/src/main/java/ironwind/net/Log.java
+++ b/src/main/java/ironwind/net/Log.java
@@ -7,6 +7,10 @@
 import java.time.temporal.ChronoUnit;
 import java.util.HashMap;
 import java.util.Map;
+import java.util.logging.Handler;
+import java.util.logging.LogManager;
+import java.util.logging.LogRecord;
+import java.util.logging.Logger;
 
 /**
  * One line an event: time, level, event, then key=value pairs. A warning that comes often is told once a second,
@@ -34,6 +38,32 @@
         this.clock = clock;
     }
 
+    /**
+     * Takes over what libraries log, by way of java.util.logging: its own way of writing a line opens files, and so
+     * fails just where descriptors have run out, and takes the thread along.
+     */
+    public Log withLibraries() {
+        LogManager.getLogManager().reset();
+        Logger.getLogger("").addHandler(new Handler() {
+            @Override
+            public void publish(LogRecord entry) {
+                if (isLoggable(entry)) {
+                    warn("library", "logger", entry.getLoggerName(), "what", entry.getMessage(),
+                            "cause", entry.getThrown());
+                }
+            }
+
+            @Override
+            public void flush() {
+            }
+
+            @Override
+            public void close() {
+            }
+        });
+        return this;
+    }
+
     /** Pairs are a name and a value each. */
     public void info(String event, Object... pairs) {
         line("INFO", event, "", pairs);
--- a/src/main/java/ironwind/net/LogicTask.java
+++ b/src/main/java/ironwind/net/LogicTask.java
@@ -17,6 +17,7 @@
 import ironwind.net.Counters.Count;
 import ironwind.pg.Encoder;
 import ironwind.pg.Failure;
+import ironwind.pg.PgFault;
 import ironwind.start.StartFacts;
 import java.util.HashMap;
 import java.util.List;
@@ -49,10 +50,12 @@
     private final AtomicBoolean batchDue = new AtomicBoolean();
     private final Map<Rpc, Exchange> exchanges = new HashMap<>();
     private final Map<CallOut, Sending> sendings = new HashMap<>();
+    /** Of RPCs without their final answer. */
+    private final Map<String, Exchange> openIds = new HashMap<>();
     private Moment now = Moment.NEVER;
 
     /** What an RPC's comment says, read. */
-    record Asked(String id, Method method, Customer customer, int group, String session, long waits, long after,
+    record Asked(String id, Method method, Customer customer, int group, String session, Span waits, long after,
             boolean repeat) {
     }
 
@@ -98,8 +101,8 @@
         } catch (RuntimeException fault) {
             counters.add(Count.FAULTS);
             log.error("fault", fault);
-            if (concerned != null && concerned.answer(Encoder.failure(ABORTED))) {
-                counters.add(Count.ABORTED);
+            if (concerned != null) {
+                answer(concerned, Encoder.failure(ABORTED), Count.ABORTED);
             }
         }
     }
@@ -110,19 +113,31 @@
         put(null, time -> {
             before.run();
             logic.listed(time, complete, entries);
+            hosts.keep(id -> logic.host(id) != null);
         });
     }
 
+    /** What cannot be taken: an id that is open already, or a group that no list has named. */
+    void check(Asked asked) {
+        if (openIds.containsKey(asked.id)) {
+            throw new PgFault(PgFault.SYNTAX, "the comment's id is that of another open request");
+        }
+        if (logic.group(asked.group) == null) {
+            throw new PgFault(PgFault.SYNTAX, "the comment's cluster names nothing known");
+        }
+    }
+
     void arrived(Exchange exchange, Asked asked) {
         counters.add(Count.RPCS);
+        openIds.put(asked.id, exchange);
         put(exchange, time -> {
             Rpc rpc = new Rpc(asked.id, asked.method, asked.customer, logic.group(asked.group), asked.session, time,
-                    time.plus(Span.ofMillis(asked.waits)),
+                    time.plus(asked.waits),
                     asked.after <= 0 ? Moment.NEVER : Moment.ofMillis(asked.after), asked.repeat);
             exchange.rpc = rpc;
             exchanges.put(rpc, exchange);
             Span longest = rpc.deadline.plus(answerSlack).since(time);
-            timers.after(longest, () -> put(exchange, due -> overdue(due, exchange)));
+            exchange.guard = timers.after(longest, () -> put(exchange, due -> overdue(due, exchange)));
             logic.arrived(time, rpc);
         });
     }
@@ -136,7 +151,11 @@
     }
 
     void left(Exchange exchange) {
+        if (exchange.statement == null) {
+            return;
+        }
         put(null, time -> {
+            close(exchange);
             if (exchange.rpc != null && exchange.rpc.stage != Rpc.Stage.OVER) {
                 counters.add(Count.LEFT);
                 logic.left(time, exchange.rpc);
@@ -173,11 +192,12 @@
         Outcome outcome = ending.outcome();
         sendings.remove(callOut);
         boolean open = rpc.stage != Rpc.Stage.OVER;
-        if (outcome == Outcome.OK && open && sending.exchange.answer(Encoder.row(word.row()))) {
-            counters.add(Count.OK);
+        if (outcome == Outcome.OK && open) {
+            answer(sending.exchange, Encoder.row(word.row()), Count.OK);
         }
-        Role role = word == null ? Role.UNTOLD : word.role();
-        Moment position = word == null ? Moment.NEVER : word.position();
+        // What can't be read tells nothing: neither a role nor a position.
+        Role role = outcome.answered ? word.role() : Role.UNTOLD;
+        Moment position = outcome.answered ? word.position(time) : Moment.NEVER;
         logic.ended(time, callOut, outcome, !open || outcome == Outcome.OK, role, position, time.since(callOut.sent));
         forget(rpc);
     }
@@ -213,10 +233,20 @@
     }
 
     private void answer(Rpc rpc, Count count, Failure failure) {
-        if (exchanges.get(rpc).answer(Encoder.failure(failure))) {
+        answer(exchanges.get(rpc), Encoder.failure(failure), count);
+        forget(rpc);
+    }
+
+    /** The one place from which an RPC's final answer goes out. */
+    private void answer(Exchange exchange, byte[] bytes, Count count) {
+        close(exchange);
+        if (exchange.answer(bytes)) {
             counters.add(count);
         }
-        forget(rpc);
+    }
+
+    private void close(Exchange exchange) {
+        openIds.remove(exchange.statement.facts().get("id"), exchange);
     }
 
     private void forget(Rpc rpc) {
--- a/src/main/java/ironwind/net/Probe.java
+++ b/src/main/java/ironwind/net/Probe.java
@@ -48,6 +48,6 @@
         limit.cancel();
         boolean answered = ending == Ending.SERVED;
         task.probed(host, answered, answered ? word.reportedRole() : Role.UNTOLD,
-                answered ? word.reportedPosition() : Moment.NEVER);
+                answered ? word.reportedPosition(Clock.read()) : Moment.NEVER);
     }
 }
--- a/src/main/java/ironwind/net/Router.java
+++ b/src/main/java/ironwind/net/Router.java
@@ -19,7 +19,7 @@
     /** How long the first list is waited for before the router says it is ready with what it knew. */
     private static final long FIRST_LIST_MS = 2_000;
     /** Descriptors for all that is no connection of a client or a host: files, selectors, discovery. */
-    private static final int OTHER_DESCRIPTORS = 64;
+    private static final int OTHER_DESCRIPTORS = 32;
     /** Of the others, the part that connections to hosts may take. */
     private static final double HOSTS_PART = 0.4;
 
@@ -27,6 +27,8 @@
     private final Log log;
     private final Function<Outbound, Inbound> module;
     private final Counters counters = new Counters();
+    private final int mostOfClients;
+    private final int mostToHosts;
     private final Vertx vertx;
     private final Context context;
     private Clients clients;
@@ -42,9 +44,12 @@
         this.facts = facts;
         this.module = module;
         this.log = log;
-        this.vertx = Vertx.vertx(new VertxOptions().setEventLoopPoolSize(1).setWorkerPoolSize(1)
+        int sockets = Math.max(2, facts.mostSockets() - OTHER_DESCRIPTORS);
+        this.mostToHosts = (int) (HOSTS_PART * sockets);
+        this.mostOfClients = sockets - mostToHosts;
+        this.vertx = Vertx.builder().withTransport(new Doorway(mostOfClients)).with(new VertxOptions().setEventLoopPoolSize(1).setWorkerPoolSize(1)
                 .setInternalBlockingPoolSize(1).setFileSystemOptions(new FileSystemOptions()
-                        .setFileCachingEnabled(false).setClassPathResolvingEnabled(false)));
+                        .setFileCachingEnabled(false).setClassPathResolvingEnabled(false))).build();
         this.context = vertx.getOrCreateContext();
     }
 
@@ -54,12 +59,10 @@
         context.exceptionHandler(this::uncaught);
         vertx.exceptionHandler(this::uncaught);
         context.runOnContext(nothing -> {
-            int sockets = Math.max(2, facts.mostSockets() - OTHER_DESCRIPTORS);
-            int forHosts = (int) (HOSTS_PART * sockets);
-            hosts = new HostConnections(vertx, facts, forHosts, counters, log);
+            hosts = new HostConnections(vertx, facts, mostToHosts, counters, log);
             LogicTask logic = new LogicTask(context, new Timers(vertx), facts, module, hosts, counters, log);
             discovery = new Discovery(vertx, facts, logic, hosts, counters, log);
-            clients = new Clients(vertx, facts, sockets - forHosts, logic, counters, log);
+            clients = new Clients(vertx, facts, mostOfClients, logic, counters, log);
             clients.listen().<Void>mapEmpty().onComplete(started);
             discovery.start(facts.knownHosts(), clients::ready);
             vertx.setTimer(FIRST_LIST_MS, timer -> clients.ready());
@@ -73,6 +76,20 @@
         log.error("fault", fault);
     }
 
+    /**
+     * Takes up new facts without letting go of a connection or an RPC: the address of discovery. All others hold
+     * until the next start.
+     */
+    public Future<Void> reload(StartFacts next) {
+        Promise<Void> done = Promise.promise();
+        context.runOnContext(nothing -> {
+            log.info("reloaded", "discovery", next.discovery());
+            discovery.moveTo(next.discovery());
+            done.complete();
+        });
+        return done.future();
+    }
+
     /** Goes on serving while clients still come, asks them away between requests, and ends when none is left. */
     public Future<Void> drain() {
         Promise<Void> gone = Promise.promise();
--- a/src/main/java/ironwind/pg/ClientMessage.java
+++ b/src/main/java/ironwind/pg/ClientMessage.java
@@ -19,6 +19,8 @@
 
     record Sync() implements ClientMessage { }
 
+    /** The types of messages that {@link #decode} knows. */
+    String TYPES = "QXSPBDECHF";
     int VERSION_3 = 3;
     int CANCEL = 80_877_102;
     int SSL = 80_877_103;
@@ -28,7 +30,7 @@
         byte[] body = frame.body();
         return switch (frame.type()) {
             case Frame.STARTUP -> startup(body);
-            case 'Q' -> new Query(Pg.text(body, 0));
+            case 'Q' -> new Query(Pg.wholeText(body));
             case 'X' -> new Terminate();
             case 'S' -> new Sync();
             case 'P', 'B', 'D', 'E', 'C', 'H', 'F' -> new Extended();
--- a/src/main/java/ironwind/pg/Encoder.java
+++ b/src/main/java/ironwind/pg/Encoder.java
@@ -32,6 +32,11 @@
         return failure(failure, "ERROR").raw(READY).bytes();
     }
 
+    /** An error that no ReadyForQuery follows yet. */
+    public static byte[] error(Failure failure) {
+        return failure(failure, "ERROR").bytes();
+    }
+
     /** An error after which the connection is closed. */
     public static byte[] fatal(Failure failure) {
         return failure(failure, "FATAL").bytes();
--- a/src/main/java/ironwind/pg/Frames.java
+++ b/src/main/java/ironwind/pg/Frames.java
@@ -5,18 +5,26 @@
 /** Cuts what comes in, split or joined at any byte, into messages. */
 public final class Frames {
     private static final int LENGTH_BYTES = 4;
+    private static final byte[] NOTHING = {};
     /** Most messages are no longer than this. */
     private static final int USUAL = 512;
+    /** PostgreSQL takes no longer start-up message. */
+    private static final int LONGEST_STARTUP = 10_000;
 
+    private final String types;
     private final int longest;
     private boolean startup;
     private byte[] bytes = new byte[USUAL];
     private int from;
     private int to;
 
-    /** {@code startup}: the first message bears no type. Bodies may have {@code longest} bytes. */
-    public Frames(boolean startup, int longest) {
+    /**
+     * {@code startup}: the first message bears no type. The types that others may have; their bodies may have
+     * {@code longest} bytes.
+     */
+    public Frames(boolean startup, String types, int longest) {
         this.startup = startup;
+        this.types = types;
         this.longest = longest;
     }
 
@@ -34,9 +42,12 @@
         to += more.length;
     }
 
-    /** The next whole message, or null where more must come first. */
+    /** The next whole message, or null where more must come first. A header that is wrong is told at once. */
     public Frame next() {
         int head = startup ? 0 : 1;
+        if (!startup && from < to && types.indexOf(bytes[from] & 0xff) < 0) {
+            throw new PgFault(PgFault.PROTOCOL, "no message has the type " + (bytes[from] & 0xff));
+        }
         if (to - from < head + LENGTH_BYTES) {
             return null;
         }
@@ -44,8 +55,9 @@
         if (length < 0) {
             throw new PgFault(PgFault.PROTOCOL, "a message has a negative length");
         }
-        if (length > longest) {
-            throw new PgFault(PgFault.TOO_LARGE, "a message has " + length + " bytes, " + longest + " are allowed");
+        int most = startup ? Math.min(LONGEST_STARTUP, longest) : longest;
+        if (length > most) {
+            throw new PgFault(PgFault.TOO_LARGE, "a message has " + length + " bytes, " + most + " are allowed");
         }
         int body = from + head + LENGTH_BYTES;
         if (to - body < length) {
@@ -68,6 +80,13 @@
         startup = false;
     }
 
+    /** Drops what has come. */
+    public void clear() {
+        from = 0;
+        to = 0;
+        bytes = NOTHING;
+    }
+
     /** Whether part of a message has come. */
     public boolean midway() {
         return from < to;
--- a/src/main/java/ironwind/pg/HostMessage.java
+++ b/src/main/java/ironwind/pg/HostMessage.java
@@ -4,6 +4,15 @@
 
 /** What a database host says. */
 public sealed interface HostMessage {
+    /** The types of messages that {@link #decode} knows. */
+    String TYPES = "RSTDCEZNKIAv";
+
+    /** What follows a column's name, and what stands before a value. */
+    int COLUMN_BYTES = 18;
+    int ROW_HEAD_BYTES = 6;
+    String SQLSTATE = "[0-9A-Z]{5}";
+    String TAG = "[A-Z]+( [0-9]+)*";
+
     record Welcome() implements HostMessage { }
 
     record Parameter(String name, String value) implements HostMessage { }
@@ -25,15 +34,12 @@
         byte[] body = frame.body();
         return switch (frame.type()) {
             case 'R' -> welcome(body);
-            case 'S' -> {
-                String name = Pg.text(body, 0);
-                yield new Parameter(name, Pg.text(body, name.length() + 1));
-            }
-            case 'T' -> new Description(body);
-            case 'D' -> new Data(body);
-            case 'C' -> new Complete(Pg.text(body, 0));
+            case 'S' -> parameter(body);
+            case 'T' -> new Description(oneColumn(body));
+            case 'D' -> new Data(oneValue(body));
+            case 'C' -> new Complete(tag(body));
             case 'E' -> new Failed(failure(body));
-            case 'Z' -> new Ready();
+            case 'Z' -> ready(body);
             case 'N', 'K', 'I', 'A', 'v' -> new Skipped();
             default -> throw new PgFault(PgFault.PROTOCOL, "no message has the type " + (int) frame.type());
         };
@@ -46,11 +52,52 @@
         return new Welcome();
     }
 
+    /** What can't be read is passed over: the answer that it came with is as good as without it. */
+    private static HostMessage parameter(byte[] body) {
+        try {
+            String name = Pg.text(body, 0);
+            return new Parameter(name, Pg.text(body, name.length() + 1));
+        } catch (PgFault unreadable) {
+            return new Skipped();
+        }
+    }
+
+    private static byte[] oneColumn(byte[] body) {
+        boolean one = body.length > 2 && body[0] == 0 && body[1] == 1
+                && Pg.text(body, 2).length() + 1 + COLUMN_BYTES == body.length - 2;
+        return check(one, body, "a description is not that of one column");
+    }
+
+    private static byte[] oneValue(byte[] body) {
+        boolean one = body.length >= ROW_HEAD_BYTES && body[0] == 0 && body[1] == 1
+                && Math.max(0, Pg.int4(body, 2)) == body.length - ROW_HEAD_BYTES;
+        return check(one && Pg.int4(body, 2) <= Pg.LARGEST_VALUE, body, "a row does not hold one value");
+    }
+
+    private static HostMessage ready(byte[] body) {
+        check(body.length == 1 && "ITE".indexOf(body[0]) >= 0, body, "a host is ready in no known state");
+        return new Ready();
+    }
+
+    private static String tag(byte[] body) {
+        String tag = Pg.wholeText(body);
+        check(tag.matches(TAG), body, "no command completes with such a tag");
+        return tag;
+    }
+
+    private static byte[] check(boolean holds, byte[] body, String otherwise) {
+        if (!holds) {
+            throw new PgFault(PgFault.PROTOCOL, otherwise);
+        }
+        return body;
+    }
+
     private static Failure failure(byte[] body) {
-        String code = Failure.INTERNAL;
+        String code = "";
         String message = "";
         String detail = null;
-        for (int at = 0; at < body.length && body[at] != 0;) {
+        int at = 0;
+        while (at < body.length && body[at] != 0) {
             char field = (char) body[at];
             String value = Pg.text(body, at + 1);
             at += value.length() + 2;
@@ -61,6 +108,7 @@
                 default -> { }
             }
         }
+        check(at == body.length - 1 && code.matches(SQLSTATE), body, "an error has no code that can be read");
         return new Failure(code, message, detail);
     }
 }
--- a/src/main/java/ironwind/pg/Pg.java
+++ b/src/main/java/ironwind/pg/Pg.java
@@ -20,6 +20,15 @@
                 | bytes[at + 3] & 0xff;
     }
 
+    /** The text that fills a message up to its last byte, a zero. */
+    static String wholeText(byte[] bytes) {
+        String text = text(bytes, 0);
+        if (text.length() != bytes.length - 1) {
+            throw new PgFault(PgFault.PROTOCOL, "a text ends before its message");
+        }
+        return text;
+    }
+
     /** The text from here to its zero byte. */
     static String text(byte[] bytes, int at) {
         int end = at;
--- a/src/main/java/ironwind/pg/PgFault.java
+++ b/src/main/java/ironwind/pg/PgFault.java
@@ -6,6 +6,7 @@
     public static final String TOO_LARGE = "54000";
     public static final String UNSUPPORTED = "0A000";
     public static final String SYNTAX = "42601";
+    public static final String TOO_SLOW = "57P05";
     private static final long serialVersionUID = 1L;
 
     public final String code;
--- a/src/main/java/ironwind/pg/Statement.java
+++ b/src/main/java/ironwind/pg/Statement.java
@@ -22,8 +22,8 @@
         Map<String, String> facts = new LinkedHashMap<>();
         for (String pair : trimmed.substring(OPEN.length(), close).strip().split(",")) {
             int equals = pair.indexOf('=');
-            if (equals > 0) {
-                facts.put(pair.substring(0, equals).strip(), pair.substring(equals + 1).strip());
+            if (equals > 0 && facts.put(pair.substring(0, equals).strip(), pair.substring(equals + 1).strip()) != null) {
+                throw new PgFault(PgFault.SYNTAX, "the comment names something twice");
             }
         }
         return new Statement(facts, trimmed.substring(close + CLOSE.length()).strip());
@@ -49,12 +49,17 @@
         return value;
     }
 
-    public long needWhole(String name) {
+    public long needWhole(String name, long least, long most) {
+        String value = need(name);
         try {
-            return Long.parseLong(need(name));
+            long number = Long.parseLong(value);
+            if (number >= least && number <= most) {
+                return number;
+            }
         } catch (NumberFormatException e) {
-            throw new PgFault(PgFault.SYNTAX, "the comment's " + name + " is no whole number");
+            // told below, as what is out of range is
         }
+        throw new PgFault(PgFault.SYNTAX, "the comment's " + name + " is no whole number in its range");
     }
 
     /** The first quoted literal, which names the row; null where there is none. */
--- a/src/test/java/ironwind/net/EndingTest.java
+++ b/src/test/java/ironwind/net/EndingTest.java
@@ -31,8 +31,8 @@
                 none.add(ending);
             }
         }
-        assertThat(none).containsExactly(Ending.IDLE_CLOSED, Ending.CLOSED_BY_HOST, Ending.CLIENT_LEFT,
-                Ending.CLIENT_DISMISSED, Ending.CLIENT_MALFORMED, Ending.CLIENT_REFUSED);
+        assertThat(none).containsExactly(Ending.IDLE_CLOSED, Ending.CLOSED_BY_HOST, Ending.SURPLUS,
+                Ending.CLIENT_LEFT, Ending.CLIENT_DISMISSED, Ending.CLIENT_MALFORMED);
     }
 
     @ParameterizedTest(name = "{0}: {1}")
--- a/src/test/java/ironwind/net/HostWordTest.java
+++ b/src/test/java/ironwind/net/HostWordTest.java
@@ -10,18 +10,21 @@
 import org.junit.jupiter.params.provider.CsvSource;
 
 class HostWordTest {
+    private static final Moment NOW = Moment.ofMillis(1767225600124L);
+
     /** Guards against a position that is rounded up, by reading or by arithmetic, or made of nonsense. */
     @ParameterizedTest(name = "applied_ms {0}, role {1}: {2}, {3}")
     @CsvSource({
         "1767225600123, primary, 1767225600123000, PRIMARY", "1767225600123.9999, replica, 1767225600123999, REPLICA",
         "0, replica, , REPLICA", "-5, x, , UNTOLD", "soon, , , UNTOLD", ", primary, , PRIMARY",
         "1e400000000, primary, , PRIMARY", "1e-400000000, primary, , PRIMARY",
-        "NaN, primary, , PRIMARY"})
+        "NaN, primary, , PRIMARY", "1767225600125, primary, 1767225600125000, PRIMARY",
+        "1767225600126, primary, , PRIMARY"})
     void positionAndRoleComeFromTheParameters(String applied, String role, Long position, Role told) {
         HostWord word = new HostWord();
         word.hear(new HostMessage.Parameter("applied_ms", applied == null ? "" : applied));
         word.hear(new HostMessage.Parameter("role", role == null ? "" : role));
-        assertThat(word.position()).isEqualTo(position == null ? Moment.NEVER : new Moment(position));
+        assertThat(word.position(NOW)).isEqualTo(position == null ? Moment.NEVER : new Moment(position));
         assertThat(word.role()).isEqualTo(told);
     }
 
@@ -34,7 +37,7 @@
         HostWord word = new HostWord();
         word.hear(new HostMessage.Description(row.description()));
         word.hear(new HostMessage.Data(row.data()));
-        assertThat(word.reportedPosition()).isEqualTo(position == null ? Moment.NEVER : new Moment(position));
+        assertThat(word.reportedPosition(NOW)).isEqualTo(position == null ? Moment.NEVER : new Moment(position));
         assertThat(word.reportedRole()).isEqualTo(told);
     }
 }
--- a/src/test/java/ironwind/net/RouterTest.java
+++ b/src/test/java/ironwind/net/RouterTest.java
@@ -199,7 +199,7 @@
         Statement sent = Statement.parse(replica.requests.take());
         assertThat(sent.text()).isEqualTo("SELECT val FROM state WHERE uid = 'k'");
         assertThat(sent.facts()).containsEntry("id", "r0").containsEntry("cluster", "2");
-        assertThat(sent.needWhole("d")).isBetween(1L, 700L);
+        assertThat(sent.needWhole("d", 1, 1_000)).isBetween(1L, 700L);
     }
 
     @Test
@@ -367,7 +367,7 @@
     /** One end of a connection, read message by message. */
     private static final class Wire implements AutoCloseable {
         private final Socket socket;
-        private final Frames frames = new Frames(false, 1 << 20);
+        private final Frames frames = new Frames(false, HostMessage.TYPES, 1 << 20);
         private byte[] lastData;
 
         Wire(Socket socket) {
--- a/src/test/java/ironwind/pg/PgTest.java
+++ b/src/test/java/ironwind/pg/PgTest.java
@@ -31,7 +31,7 @@
     }
 
     private static List<ClientMessage> messages(byte[]... pieces) {
-        Frames frames = new Frames(true, 200);
+        Frames frames = new Frames(true, ClientMessage.TYPES, 200);
         List<ClientMessage> found = new ArrayList<>();
         for (byte[] piece : pieces) {
             frames.add(piece);
@@ -78,7 +78,7 @@
     }
 
     private static List<HostMessage> hostMessages(byte[] bytes) {
-        Frames frames = new Frames(false, Pg.LARGEST_MESSAGE);
+        Frames frames = new Frames(false, HostMessage.TYPES, Pg.LARGEST_MESSAGE);
         frames.add(bytes);
         List<HostMessage> found = new ArrayList<>();
         for (Frame frame = frames.next(); frame != null; frame = frames.next()) {
@@ -120,22 +120,24 @@
     void statementsAreReadAndPassedOnWithTheTimeLeftAlone(String sql, String id, long waits, String key) {
         Statement statement = Statement.parse(sql);
         assertThat(statement.need("id")).isEqualTo(id);
-        assertThat(statement.needWhole("d")).isEqualTo(waits);
+        assertThat(statement.needWhole("d", 1, 1_000)).isEqualTo(waits);
         assertThat(statement.key()).isEqualTo(key);
         Statement sent = Statement.parse(statement.waitingFor(77));
         assertThat(sent.text()).isEqualTo(statement.text()).isEqualTo(sql.substring(sql.indexOf("*/") + 2).strip());
-        assertThat(sent.needWhole("d")).isEqualTo(77);
+        assertThat(sent.needWhole("d", 1, 1_000)).isEqualTo(77);
         assertThat(sent.facts().keySet()).containsExactlyElementsOf(statement.facts().keySet());
     }
 
     @ParameterizedTest(name = "{0}")
     @ValueSource(strings = {"/* id=9b SELECT 1", "/* c=a */ SELECT 1", "/* id= */ SELECT 1", "/* id=1,d=x */ SELECT 1",
+        "/* id=1,d=0 */ SELECT 1", "/* id=1,d=-5 */ SELECT 1", "/* id=1,d=1001 */ SELECT 1",
+        "/* id=1,d=9999999999999999999 */ SELECT 1", "/* id=1,d=1,id=2 */ SELECT 1",
         "/* id=1,d=1 */ SELECT 'open"})
     void badCommentsAreSyntaxErrors(String sql) {
         assertThatThrownBy(() -> {
             Statement statement = Statement.parse(sql);
             statement.need("id");
-            statement.needWhole("d");
+            statement.needWhole("d", 1, 1_000);
             statement.key();
         }).isInstanceOfSatisfying(PgFault.class, fault -> assertThat(fault.code).isEqualTo(PgFault.SYNTAX));
     }
