--- a/src/main/java/ironwind/net/Rehearsal.java
+++ b/src/main/java/ironwind/net/Rehearsal.java
@@ -34,7 +34,7 @@
     private static final int RPCS = 400;
     private static final int AT_ONCE = 4;
     /** However slow the machine is, clients are not kept waiting for longer. */
-    private static final Span LONGEST = Span.ofMillis(4_000);
+    private static final Span LONGEST = Span.ofMillis(800);
     private static final int SOCKETS = 16;
     /** Hosts by id; the first is the primary. So many that none is taken for silent while all is still slow. */
     private static final List<String> HOSTS = List.of("a", "b", "c", "d", "e", "f");
