--- a/src/main/java/ironwind/net/Clients.java
+++ b/src/main/java/ironwind/net/Clients.java
@@ -79,6 +79,10 @@
         rehearsed.start(new Address(facts.listen().ip(), port()));
     }
 
+    int rehearsed() {
+        return rehearsal.begun();
+    }
+
     /** From now on empty queries are answered: the front may send clients. */
     void ready() {
         ready = true;
--- a/src/main/java/ironwind/net/Rehearsal.java
+++ b/src/main/java/ironwind/net/Rehearsal.java
@@ -34,7 +34,7 @@
     private static final int RPCS = 400;
     private static final int AT_ONCE = 4;
     /** However slow the machine is, clients are not kept waiting for longer. */
-    private static final Span LONGEST = Span.ofMillis(800);
+    private static final Span LONGEST = Span.ofMillis(4_000);
     private static final int SOCKETS = 16;
     /** Hosts by id; the first is the primary. So many that none is taken for silent while all is still slow. */
     private static final List<String> HOSTS = List.of("a", "b", "c", "d", "e", "f");
@@ -51,13 +51,13 @@
 
     Rehearsal(Vertx vertx, Context context, StartFacts facts, Function<Outbound, Inbound> module, Runnable done) {
         this.context = context;
-        this.facts = facts;
+        this.facts = facts.withConnectTime(LONGEST);
         this.random = new SplittableRandom(facts.seed());
         this.done = done;
         Counters counters = new Counters();
         Log log = new Log(new PrintStream(OutputStream.nullOutputStream()));
-        this.hosts = new HostConnections(vertx, facts, SOCKETS, counters, log);
-        this.task = new LogicTask(context, new Timers(vertx), facts, module, hosts, counters, log);
+        this.hosts = new HostConnections(vertx, this.facts, SOCKETS, counters, log);
+        this.task = new LogicTask(context, new Timers(vertx), this.facts, module, hosts, counters, log);
         vertx.setTimer(Timers.millis(LONGEST), timer -> end());
     }
 
@@ -100,6 +100,10 @@
                 Map.of("applied_ms", Long.toString(System.currentTimeMillis())));
     }
 
+    int begun() {
+        return begun;
+    }
+
     private void end() {
         if (!over) {
             over = true;
--- a/src/main/java/ironwind/net/Router.java
+++ b/src/main/java/ironwind/net/Router.java
@@ -67,7 +67,7 @@
             Promise<Void> heard = Promise.promise();
             clients.listen().<Void>mapEmpty().onSuccess(listening -> clients.rehearse(
                     new Rehearsal(vertx, context, facts, module, () -> {
-                        log.info("rehearsed");
+                        log.info("rehearsed", "rpcs", clients.rehearsed());
                         rehearsed.tryComplete();
                     }))).onComplete(started);
             discovery.start(facts.knownHosts(), heard::tryComplete);
--- a/src/main/java/ironwind/start/StartFacts.java
+++ b/src/main/java/ironwind/start/StartFacts.java
@@ -45,6 +45,12 @@
                 new Span(settings.needWhole("rules.answer_slack_us")));
     }
 
+    /** The same facts, but for how long connections to hosts may take to come up. */
+    public StartFacts withConnectTime(Span time) {
+        return new StartFacts(name, listen, discovery, seed, mostSockets, knownHosts, deployment, names, time,
+                hostIdleTime, answerSlack);
+    }
+
     private static JsonObject child(JsonObject json, String key) {
         if (json.getValue(key) instanceof JsonObject object) {
             return object;
