--- a/src/main/java/ironwind/net/Rehearsal.java
+++ b/src/main/java/ironwind/net/Rehearsal.java
@@ -31,7 +31,7 @@
  */
 final class Rehearsal {
     /** By then what serves an RPC has run as often as the JVM wants before it compiles it. */
-    private static final int RPCS = 400;
+    private static final int RPCS = 150;
     private static final int AT_ONCE = 4;
     /** However slow the machine is, clients are not kept waiting for longer. */
     private static final Span LONGEST = Span.ofMillis(4_000);
--- a/src/main/java/ironwind/net/Router.java
+++ b/src/main/java/ironwind/net/Router.java
@@ -15,7 +15,7 @@
 /** One real router, for use in a program of one's own: start it, ask its clients away, stop it. */
 public final class Router {
     /** PROTOCOL: after SIGTERM new connections keep coming for up to 0.4 s. */
-    private static final long LAST_ARRIVALS_MS = 500;
+    private static final long LAST_ARRIVALS_MS = 2_000;
     /** How long the first list is waited for before the router says it is ready with what it knew. */
     private static final long FIRST_LIST_MS = 2_000;
     /** Descriptors for all that is no connection of a client or a host: files, selectors, discovery. */
