--- a/src/main/java/ironwind/Logic.java
+++ b/src/main/java/ironwind/Logic.java
@@ -3,14 +3,7 @@
 import ironwind.model.*;
 import ironwind.model.Deployment.HostChecks;
 import ironwind.model.Rpc.Stage;
-import java.util.ArrayList;
-import java.util.Arrays;
-import java.util.Comparator;
-import java.util.LinkedHashMap;
-import java.util.List;
-import java.util.Map;
-import java.util.SplittableRandom;
-import java.util.TreeMap;
+import java.util.*;
 import java.util.function.BiConsumer;
 
 /**
@@ -198,6 +191,13 @@
             listedRole(host, entry.primary());
         }
         absent.forEach(host -> relist(host, Host.Listing.GONE));
+        hosts.values().removeIf(this::forgets);
+    }
+
+    /** Guards against lists that name new hosts without end: one that is gone, and owes us nothing, is let go. */
+    private boolean forgets(Host host) {
+        boolean goes = host.listing == Host.Listing.GONE && host.out.isEmpty() && (host.suspect || !sendable(host));
+        return goes && host.group.members.remove(host);
     }
 
     private void relist(Host host, Host.Listing listing) {
--- a/src/main/java/ironwind/net/LogicTask.java
+++ b/src/main/java/ironwind/net/LogicTask.java
@@ -37,6 +37,8 @@
     private static final Failure ABORTED = new Failure(Failure.OUTCOME_UNKNOWN, "aborted: it may or may not have run",
             null);
 
+    private static final Moment FAR = new Moment(Long.MAX_VALUE / 4);
+
     private final Context context;
     private final Timers timers;
     private final Deployment deployment;
@@ -52,8 +54,14 @@
     private final Map<CallOut, Sending> sendings = new HashMap<>();
     /** Of RPCs without their final answer. */
     private final Map<String, Exchange> openIds = new HashMap<>();
+    private Moment lastAnswer = FAR;
     private Moment now = Moment.NEVER;
 
+    /** From now on no RPC is taken for longer than up to this moment. */
+    void endBy(Span fromNow) {
+        lastAnswer = Clock.read().plus(fromNow);
+    }
+
     /** What an RPC's comment says, read. */
     record Asked(String id, Method method, Customer customer, int group, String session, Span waits, long after,
             boolean repeat) {
@@ -132,7 +140,7 @@
         openIds.put(asked.id, exchange);
         put(exchange, time -> {
             Rpc rpc = new Rpc(asked.id, asked.method, asked.customer, logic.group(asked.group), asked.session, time,
-                    time.plus(asked.waits),
+                    time.plus(asked.waits).earlier(lastAnswer),
                     asked.after <= 0 ? Moment.NEVER : Moment.ofMillis(asked.after), asked.repeat);
             exchange.rpc = rpc;
             exchanges.put(rpc, exchange);
--- a/src/main/java/ironwind/net/Rehearsal.java
+++ b/src/main/java/ironwind/net/Rehearsal.java
@@ -35,7 +35,7 @@
     private static final int AT_ONCE = 4;
     /** However slow the machine is, clients are not kept waiting for longer. */
     private static final Span LONGEST = Span.ofMillis(4_000);
-    private static final int SOCKETS = 16;
+    private static final int MOST_SOCKETS = 16;
     /** Hosts by id; the first is the primary. So many that none is taken for silent while all is still slow. */
     private static final List<String> HOSTS = List.of("a", "b", "c", "d", "e", "f");
 
@@ -49,14 +49,15 @@
     private int begun;
     private boolean over;
 
-    Rehearsal(Vertx vertx, Context context, StartFacts facts, Function<Outbound, Inbound> module, Runnable done) {
+    Rehearsal(Vertx vertx, Context context, StartFacts facts, Function<Outbound, Inbound> module, int most,
+            Runnable done) {
         this.context = context;
         this.facts = facts.withConnectTime(LONGEST);
         this.random = new SplittableRandom(facts.seed());
         this.done = done;
         Counters counters = new Counters();
         Log log = new Log(new PrintStream(OutputStream.nullOutputStream()));
-        this.hosts = new HostConnections(vertx, this.facts, SOCKETS, counters, log);
+        this.hosts = new HostConnections(vertx, this.facts, Math.min(MOST_SOCKETS, most), counters, log);
         this.task = new LogicTask(context, new Timers(vertx), this.facts, module, hosts, counters, log);
         vertx.setTimer(Timers.millis(LONGEST), timer -> end());
     }
--- a/src/main/java/ironwind/net/Router.java
+++ b/src/main/java/ironwind/net/Router.java
@@ -9,13 +9,19 @@
 import ironwind.Logic;
 import ironwind.model.Inbound;
 import ironwind.model.Outbound;
+import ironwind.model.Span;
 import ironwind.start.StartFacts;
 import java.util.function.Function;
 
 /** One real router, for use in a program of one's own: start it, ask its clients away, stop it. */
 public final class Router {
-    /** PROTOCOL: after SIGTERM new connections keep coming for up to 0.4 s. */
-    private static final long LAST_ARRIVALS_MS = 2_000;
+    /** PROTOCOL: SIGKILL comes no sooner after SIGTERM than the longest deadline, up to 3 s, and 0.7 s. */
+    private static final long MOST_DEADLINE_MS = 3_000;
+    private static final long KILLED_AFTER_MS = 700;
+    /** Of that time, what answers may need to be written. */
+    private static final long LAST_WRITES_MS = 300;
+    /** The part of that time in which clients that know the router are served on, while others take over. */
+    private static final double SERVING_PART = 0.5;
     /** How long the first list is waited for before the router says it is ready with what it knew. */
     private static final long FIRST_LIST_MS = 2_000;
     /** Descriptors for all that is no connection of a client or a host: files, selectors, discovery. */
@@ -34,6 +40,7 @@
     private Clients clients;
     private HostConnections hosts;
     private Discovery discovery;
+    private LogicTask logic;
 
     public Router(StartFacts facts, Log log) {
         this(facts, log, outbound -> new Logic(facts.deployment(), facts.seed(), outbound));
@@ -60,13 +67,13 @@
         vertx.exceptionHandler(this::uncaught);
         context.runOnContext(nothing -> {
             hosts = new HostConnections(vertx, facts, mostToHosts, counters, log);
-            LogicTask logic = new LogicTask(context, new Timers(vertx), facts, module, hosts, counters, log);
+            logic = new LogicTask(context, new Timers(vertx), facts, module, hosts, counters, log);
             discovery = new Discovery(vertx, facts, logic, hosts, counters, log);
             clients = new Clients(vertx, facts, mostOfClients, logic, counters, log);
             Promise<Void> rehearsed = Promise.promise();
             Promise<Void> heard = Promise.promise();
             clients.listen().<Void>mapEmpty().onSuccess(listening -> clients.rehearse(
-                    new Rehearsal(vertx, context, facts, module, () -> {
+                    new Rehearsal(vertx, context, facts, module, Math.max(1, mostOfClients / 4), () -> {
                         log.info("rehearsed", "rpcs", clients.rehearsed());
                         rehearsed.tryComplete();
                     }))).onComplete(started);
@@ -100,18 +107,22 @@
         return done.future();
     }
 
-    /** Goes on serving while clients still come, asks them away between requests, and ends when none is left. */
+    /**
+     * Goes on serving those who know it, while others take over, then asks them away between their requests, and ends
+     * when none is left. All is answered by the time at which PROTOCOL lets a router be killed.
+     */
     public Future<Void> drain() {
         Promise<Void> gone = Promise.promise();
         log.info("draining");
         context.runOnContext(nothing -> {
-            vertx.setTimer(LAST_ARRIVALS_MS, timer -> clients.dismissAll(gone::tryComplete));
-            vertx.setTimer(LAST_ARRIVALS_MS + longestDeadline(), timer -> gone.tryComplete());
+            long untilKilled = Math.min(MOST_DEADLINE_MS, longestDeadline()) + KILLED_AFTER_MS;
+            logic.endBy(Span.ofMillis(untilKilled - LAST_WRITES_MS));
+            vertx.setTimer((long) (SERVING_PART * untilKilled), timer -> clients.dismissAll(gone::tryComplete));
+            vertx.setTimer(untilKilled - LAST_WRITES_MS / 2, timer -> gone.tryComplete());
         });
         return gone.future();
     }
 
-    /** By then all that came before the last arrivals is answered. */
     private long longestDeadline() {
         return facts.deployment().methods().stream().mapToLong(method -> method.deadline().us() / 1_000).max()
                 .orElse(0);
