--- a/src/main/java/ironwind/net/ClientConnection.java
+++ b/src/main/java/ironwind/net/ClientConnection.java
@@ -207,9 +207,11 @@
         closed(closing == null ? Ending.CLIENT_DISMISSED : closing);
     }
 
-    private void write(byte[] bytes) {
-        if (!closed) {
-            socket.write(Buffer.buffer(bytes));
+    private void write(byte[]... parts) {
+        for (byte[] part : parts) {
+            if (!closed) {
+                socket.write(Buffer.buffer(part));
+            }
         }
     }
 
--- a/src/main/java/ironwind/net/Clients.java
+++ b/src/main/java/ironwind/net/Clients.java
@@ -35,8 +35,8 @@
     private static final long SWEEP_EVERY_MS = 250;
     private static final Comparator<ClientConnection> LEAST_KNOWN =
             Comparator.comparing(ClientConnection::standing).thenComparing(ClientConnection::since);
-    /** Of the settings' deadlines: what clients count in milliseconds may be rounded. */
-    private static final Span ROUNDING = Span.ofMillis(1);
+    /** The settings tell how long clients wait; what is this many times as long is no such time. */
+    private static final double MOST_DEADLINES = 4;
 
     private final Vertx vertx;
     private final NetServer server;
@@ -166,8 +166,8 @@
         Customer customer = names.customers().isEmpty() ? null
                 : known(names.customers().get(statement.need("t")), "t");
         Span waits = Span.ofMillis(statement.needWhole("d", 1, LONGEST_MS));
-        if (waits.longerThan(method.deadline().plus(facts.answerSlack()).plus(ROUNDING))) {
-            throw new PgFault(PgFault.SYNTAX, "the comment's d is longer than any deadline of its method");
+        if (waits.longerThan(method.deadline().times(MOST_DEADLINES))) {
+            throw new PgFault(PgFault.SYNTAX, "the comment's d is far beyond its method's deadline: " + waits.us());
         }
         if (method.effect() == Effect.TOKENED) {
             statement.need("k");
--- a/src/main/java/ironwind/net/Exchange.java
+++ b/src/main/java/ironwind/net/Exchange.java
@@ -12,7 +12,7 @@
     /** Runs out where an answer is owed and does not come. */
     Timers.Timer guard;
     private boolean answered;
-    private byte[] answer;
+    private byte[][] answer;
 
     Exchange(Statement statement, Runnable whenAnswered) {
         this.statement = statement;
@@ -20,12 +20,12 @@
     }
 
     /** Takes the one answer; true if it is the first. */
-    boolean answer(byte[] bytes) {
+    boolean answer(byte[]... parts) {
         if (answered) {
             return false;
         }
         answered = true;
-        answer = bytes;
+        answer = parts;
         if (guard != null) {
             guard.cancel();
         }
@@ -38,9 +38,9 @@
     }
 
     /** Hands the answer over, and keeps it no longer. */
-    byte[] takeAnswer() {
-        byte[] bytes = answer;
+    byte[][] takeAnswer() {
+        byte[][] parts = answer;
         answer = null;
-        return bytes;
+        return parts;
     }
 }
--- a/src/main/java/ironwind/net/HostConnection.java
+++ b/src/main/java/ironwind/net/HostConnection.java
@@ -8,7 +8,6 @@
 import ironwind.pg.Frame;
 import ironwind.pg.Frames;
 import ironwind.pg.HostMessage;
-import ironwind.pg.Pg;
 import ironwind.pg.PgFault;
 
 /** One connection to a host: brought up, then used for one request after another. */
@@ -18,7 +17,7 @@
 
     final String hostId;
     private final HostConnections pool;
-    private final Frames frames = new Frames(false, HostMessage.TYPES, Pg.LARGEST_MESSAGE);
+    private final Frames frames;
     private NetSocket socket;
     private boolean up;
     private boolean closed;
@@ -41,6 +40,7 @@
     HostConnection(String hostId, HostConnections pool, Use use) {
         this.hostId = hostId;
         this.pool = pool;
+        this.frames = new Frames(false, HostMessage.TYPES, pool.longestMessage);
         this.use = use;
     }
 
--- a/src/main/java/ironwind/net/HostConnections.java
+++ b/src/main/java/ironwind/net/HostConnections.java
@@ -27,6 +27,9 @@
     /** Of the time after which a host closes an idle connection: a request that crosses the close would be lost. */
     private static final double IDLE_PART = 0.75;
 
+    /** Of the router's memory, what one message of a host may take. */
+    private static final double MESSAGE_PART = 1.0 / 64;
+    private static final int MEGABYTE = 1 << 20;
     /** What a host sends behind an answer of its own accord has come by then. */
     private static final Span QUIET = Span.ofMillis(3);
 
@@ -35,6 +38,8 @@
     private final Span connectTime;
     private final Span idleTime;
     private final int most;
+    /** Bytes that a message of a host may have. Some have more than PROTOCOL allows a value, and are whole. */
+    final int longestMessage;
     private final Counters counters;
     private final Log log;
     private final Map<String, Address> addresses = new HashMap<>();
@@ -48,6 +53,7 @@
         this.connectTime = facts.connectTime();
         this.idleTime = facts.hostIdleTime().times(IDLE_PART);
         this.most = most;
+        this.longestMessage = (int) (MESSAGE_PART * facts.memoryMb() * MEGABYTE);
         this.counters = counters;
         this.log = log;
         this.client = vertx.createNetClient(new NetClientOptions().setConnectTimeout(Timers.millis(connectTime)));
--- a/src/main/java/ironwind/net/LogicTask.java
+++ b/src/main/java/ironwind/net/LogicTask.java
@@ -110,7 +110,7 @@
             counters.add(Count.FAULTS);
             log.error("fault", fault);
             if (concerned != null) {
-                answer(concerned, Encoder.failure(ABORTED), Count.ABORTED);
+                answer(concerned, Count.ABORTED, Encoder.failure(ABORTED));
             }
         }
     }
@@ -201,7 +201,7 @@
         sendings.remove(callOut);
         boolean open = rpc.stage != Rpc.Stage.OVER;
         if (outcome == Outcome.OK && open) {
-            answer(sending.exchange, Encoder.row(word.row()), Count.OK);
+            answer(sending.exchange, Count.OK, Encoder.rowInParts(word.row()));
         }
         // What can't be read tells nothing: neither a role nor a position.
         Role role = outcome.answered ? word.role() : Role.UNTOLD;
@@ -241,14 +241,14 @@
     }
 
     private void answer(Rpc rpc, Count count, Failure failure) {
-        answer(exchanges.get(rpc), Encoder.failure(failure), count);
+        answer(exchanges.get(rpc), count, Encoder.failure(failure));
         forget(rpc);
     }
 
     /** The one place from which an RPC's final answer goes out. */
-    private void answer(Exchange exchange, byte[] bytes, Count count) {
+    private void answer(Exchange exchange, Count count, byte[]... parts) {
         close(exchange);
-        if (exchange.answer(bytes)) {
+        if (exchange.answer(parts)) {
             counters.add(count);
         }
     }
--- a/src/main/java/ironwind/pg/Encoder.java
+++ b/src/main/java/ironwind/pg/Encoder.java
@@ -5,6 +5,7 @@
 /** Messages as bytes: first what a server says, then what a client says. */
 public final class Encoder {
     private static final byte[] READY = new Writer().begin('Z').int1('I').end().bytes();
+    private static final int LENGTH_BYTES = 4;
     private static final int VERSION = ClientMessage.VERSION_3 << 16;
 
     private Encoder() {
@@ -31,12 +32,25 @@
 
     /** A row, and parameters that changed with it. */
     public static byte[] row(Row row, Map<String, String> parameters) {
-        Writer writer = new Writer().begin('T').raw(row.description()).end().begin('D').raw(row.data()).end()
-                .begin('C').text(row.tag()).end();
+        Writer writer = new Writer().raw(beforeValue(row)).raw(row.data()).raw(afterValue(row));
         parameters.forEach((name, value) -> writer.begin('S').text(name).text(value).end());
         return writer.raw(READY).bytes();
     }
 
+    /** A row in parts, so that a large value is not copied. */
+    public static byte[][] rowInParts(Row row) {
+        return new byte[][] {beforeValue(row), row.data(), new Writer().raw(afterValue(row)).raw(READY).bytes()};
+    }
+
+    private static byte[] beforeValue(Row row) {
+        return new Writer().begin('T').raw(row.description()).end().int1('D').int4(LENGTH_BYTES + row.data().length)
+                .bytes();
+    }
+
+    private static byte[] afterValue(Row row) {
+        return new Writer().begin('C').text(row.tag()).end().bytes();
+    }
+
     public static byte[] failure(Failure failure) {
         return failure(failure, "ERROR").raw(READY).bytes();
     }
--- a/src/main/java/ironwind/pg/Frames.java
+++ b/src/main/java/ironwind/pg/Frames.java
@@ -14,7 +14,7 @@
     private final String types;
     private final int longest;
     private boolean startup;
-    private byte[] bytes = new byte[USUAL];
+    private byte[] bytes = NOTHING;
     private int from;
     private int to;
 
@@ -28,11 +28,18 @@
         this.longest = longest;
     }
 
+    /** Takes what has come; the array is this object's from now on. */
     public void add(byte[] more) {
+        int kept = to - from;
+        if (kept == 0) {
+            bytes = more;
+            from = 0;
+            to = more.length;
+            return;
+        }
         if (to + more.length > bytes.length) {
-            int kept = to - from;
-            byte[] target = kept + more.length <= bytes.length ? bytes
-                    : new byte[Math.max(kept + more.length, Math.min(2 * bytes.length, longest))];
+            int room = Math.max(kept + more.length, Math.max(USUAL, Math.min(expected(), longest)));
+            byte[] target = room <= bytes.length ? bytes : new byte[room];
             System.arraycopy(bytes, from, target, 0, kept);
             bytes = target;
             from = 0;
@@ -42,6 +49,12 @@
         to += more.length;
     }
 
+    /** How long the message that has begun says it is, with its head; zero where that has not come yet. */
+    private int expected() {
+        int head = startup ? 0 : 1;
+        return to - from < head + LENGTH_BYTES ? 0 : head + Math.max(0, Pg.int4(bytes, from + head));
+    }
+
     /** The next whole message, or null where more must come first. A header that is wrong is told at once. */
     public Frame next() {
         int head = startup ? 0 : 1;
@@ -67,10 +80,8 @@
         from = body + length;
         Frame frame = new Frame(type, Arrays.copyOfRange(bytes, body, from));
         if (from == to) {
-            from = 0;
-            to = 0;
-            // A connection that once brought a large value does not keep room for it.
-            bytes = bytes.length > USUAL ? new byte[USUAL] : bytes;
+            // A connection keeps no room for what it once brought.
+            clear();
         }
         return frame;
     }
--- a/src/main/java/ironwind/pg/HostMessage.java
+++ b/src/main/java/ironwind/pg/HostMessage.java
@@ -72,7 +72,7 @@
     private static byte[] oneValue(byte[] body) {
         boolean one = body.length >= ROW_HEAD_BYTES && body[0] == 0 && body[1] == 1
                 && Math.max(0, Pg.int4(body, 2)) == body.length - ROW_HEAD_BYTES;
-        return check(one && Pg.int4(body, 2) <= Pg.LARGEST_VALUE, body, "a row does not hold one value");
+        return check(one, body, "a row does not hold one value");
     }
 
     private static HostMessage ready(byte[] body) {
--- a/src/main/java/ironwind/pg/Statement.java
+++ b/src/main/java/ironwind/pg/Statement.java
@@ -8,6 +8,7 @@
     private static final String OPEN = "/*";
     private static final String CLOSE = "*/";
     private static final String TIME_LEFT = "d";
+    private static final int SHOWN = 24;
 
     /** Reads a query; one without such a comment has no facts. */
     public static Statement parse(String sql) {
@@ -59,7 +60,8 @@
         } catch (NumberFormatException e) {
             // told below, as what is out of range is
         }
-        throw new PgFault(PgFault.SYNTAX, "the comment's " + name + " is no whole number in its range");
+        throw new PgFault(PgFault.SYNTAX, "the comment's " + name + " is no whole number in its range: "
+                + value.substring(0, Math.min(SHOWN, value.length())));
     }
 
     /** The first quoted literal, which names the row; null where there is none. */
--- a/src/main/java/ironwind/start/StartFacts.java
+++ b/src/main/java/ironwind/start/StartFacts.java
@@ -15,12 +15,15 @@
         Address discovery,
         long seed,
         int mostSockets,
+        int memoryMb,
         JsonObject knownHosts,
         Deployment deployment,
         Names names,
         Span connectTime,
         Span hostIdleTime,
         Span answerSlack) {
+    /** DEPLOY and LATER: no router gets less. */
+    private static final int LEAST_MEMORY_MB = 32;
 
     /** Reads them from a JSON file; a {@link StartFault} tells what is missing or malformed. */
     public static StartFacts read(Path file) {
@@ -39,6 +42,7 @@
         Deployment deployment = DeploymentReader.read(settings);
         return new StartFacts(top.need("name"), Address.parse(top.need("listen")),
                 Address.parse(top.need("discovery")), seed(top), top.needSmall("limits.sockets"),
+                top.small("limits.memory_mb", LEAST_MEMORY_MB),
                 child(json, "known"), deployment, Names.read(settings, deployment),
                 new Span(settings.needWhole("caps.connect_timeout_us")),
                 new Span(settings.needWhole("caps.idle_close_us")),
@@ -47,7 +51,7 @@
 
     /** The same facts, but for how long connections to hosts may take to come up. */
     public StartFacts withConnectTime(Span time) {
-        return new StartFacts(name, listen, discovery, seed, mostSockets, knownHosts, deployment, names, time,
+        return new StartFacts(name, listen, discovery, seed, mostSockets, memoryMb, knownHosts, deployment, names, time,
                 hostIdleTime, answerSlack);
     }
 
