A suspect primary is tried with reads; one silent connection makes no silent host

Cause: a connection that stayed silent made its host suspect; a suspect primary is tried by idempotent RPCs only, and reads had replicas that passed, so none ever went there. At fault: Logic.ended (doubt on any UNREACHED) and Logic.choose.

--- a/src/main/java/ironwind/Logic.java
+++ b/src/main/java/ironwind/Logic.java
@@ -104,17 +104,17 @@
     private static final Row[] TABLE = {
         new Row(Stage.HELD, Input.LOOK, Stage.HELD, Logic::place),
         new Row(Stage.HELD, Input.ARRIVED, Stage.HELD, Logic::admit),
-        new Row(Stage.HELD, Input.SENT, Stage.OUT, Logic::nothing),
+        new Row(Stage.HELD, Input.SENT, Stage.OUT, (logic, rpc) -> { }),
         new Row(Stage.HELD, Input.HOPELESS, Stage.OVER, Logic::answerUnserved),
         new Row(Stage.HELD, Input.LEFT, Stage.OVER, Logic::finish),
-        new Row(Stage.OUT, Input.SENT, Stage.TWICE_OUT, Logic::nothing),
+        new Row(Stage.OUT, Input.SENT, Stage.TWICE_OUT, (logic, rpc) -> { }),
         new Row(Stage.OUT, Input.OK, Stage.OVER, Logic::finish),
         new Row(Stage.OUT, Input.UNRUN, Stage.HELD, Logic::hold),
         new Row(Stage.OUT, Input.UNSURE, Stage.HELD, Logic::holdIfRepeatable),
         new Row(Stage.OUT, Input.LEFT, Stage.OVER, Logic::finish),
         new Row(Stage.TWICE_OUT, Input.OK, Stage.OVER, Logic::finish),
-        new Row(Stage.TWICE_OUT, Input.UNRUN, Stage.OUT, Logic::nothing),
-        new Row(Stage.TWICE_OUT, Input.UNSURE, Stage.OUT, Logic::nothing),
+        new Row(Stage.TWICE_OUT, Input.UNRUN, Stage.OUT, (logic, rpc) -> { }),
+        new Row(Stage.TWICE_OUT, Input.UNSURE, Stage.OUT, (logic, rpc) -> { }),
         new Row(Stage.TWICE_OUT, Input.LEFT, Stage.OVER, Logic::finish),
     };
 
@@ -301,7 +301,8 @@
         }
         if (outcome.answered) {
             answered(callOut, outcome, role, position, took);
-        } else if (outcome == Outcome.UNREACHED) {
+        } else if (outcome == Outcome.UNREACHED && !host.lastHeard.after(callOut.sent)) {
+            // One connection of many that stays silent is no silent host: it has answered on another since.
             host.refused = took.shorterThan(AT_ONCE);
             doubt(host);
             if (host.refused && newsProbes.take()) {
@@ -593,9 +594,6 @@
         }
     }
 
-    private void nothing(Rpc rpc) {
-    }
-
     private void hold(Rpc rpc) {
         held.add(rpc);
         stirred = true;
@@ -702,6 +700,10 @@
         Moment need = need(rpc, now);
         Group group = rpc.group;
         boolean checks = deployment.hostChecks() == HostChecks.REFUSE;
+        if (group.primary != null && group.primary.suspect && fit(rpc, group.primary)) {
+            // A trial, as at a suspect replica: writes are none, and no read may need the primary for long.
+            return group.primary;
+        }
         Host replica = chooseReplica(rpc, need, false);
         if (replica == null && checks && need.after(Moment.NEVER)) {
             replica = chooseReplica(rpc, need, true);
@@ -889,7 +891,8 @@
         double sizes = 0;
         double served = 0;
         for (Host host : hosts.values()) {
-            boolean counts = host.kind == kind && sendable(host) && coldDone(host);
+            boolean warm = !now.since(host.startedAt).shorterThan(deployment.warmAfter());
+            boolean counts = host.kind == kind && sendable(host) && warm;
             sizes += counts ? host.size : 0;
             served += counts ? host.served.value * lasting(host.served, RATE_OVER) : 0;
         }
@@ -921,10 +924,6 @@
         return true;
     }
 
-    private boolean coldDone(Host host) {
-        return !now.since(host.startedAt).shorterThan(deployment.warmAfter());
-    }
-
     // ---- the round of a batch
 
     @Override
