--- a/src/main/java/ironwind/net/HostConnection.java
+++ b/src/main/java/ironwind/net/HostConnection.java
@@ -23,6 +23,7 @@
     private boolean closed;
     /** Whether the rest of a message is being waited for. */
     private boolean limited;
+    private Runnable released = () -> { };
     private Use use;
     private HostWord word = new HostWord();
     private Future<Void> written;
@@ -57,8 +58,9 @@
             return;
         }
         socket.handler(this::received);
+        released = whenClosed;
         socket.closeHandler(nothing -> {
-            whenClosed.run();
+            release();
             broken();
         });
         socket.exceptionHandler(fault -> broken());
@@ -198,7 +200,15 @@
             pool.forget(this);
             if (socket != null) {
                 socket.close();
+                release();
             }
         }
     }
+
+    /** Its descriptor is free, or will be before another is opened. */
+    private void release() {
+        Runnable once = released;
+        released = () -> { };
+        once.run();
+    }
 }
--- a/src/main/java/ironwind/net/Rehearsal.java
+++ b/src/main/java/ironwind/net/Rehearsal.java
@@ -44,7 +44,7 @@
     private final SplittableRandom random;
     private final HostConnections hosts;
     private final LogicTask task;
-    private final Set<String> openIds = new HashSet<>();
+    private final Set<String> ids = new HashSet<>();
     private final Runnable done;
     private int begun;
     private boolean over;
@@ -83,7 +83,7 @@
         Method method = methods.get(begun % methods.size());
         Customer customer = facts.deployment().customers().isEmpty() ? null : facts.deployment().customers().get(0);
         String id = "rehearsal-" + Long.toHexString(random.nextLong());
-        openIds.add(id);
+        ids.add(id);
         begun++;
         long waits = method.deadline().us() / 1_000;
         Statement statement = Statement.parse("/* id=" + id + ",c=" + method.index() + ",d=" + waits
@@ -94,7 +94,7 @@
 
     /** What a host would answer to a request of the rehearsal; null to any other. */
     byte[] answerTo(Statement statement) {
-        if (!openIds.remove(statement.facts().getOrDefault("id", ""))) {
+        if (!ids.contains(statement.facts().getOrDefault("id", ""))) {
             return null;
         }
         return Encoder.row(Row.ofText("val", statement.key()),
--- a/src/main/java/ironwind/net/Router.java
+++ b/src/main/java/ironwind/net/Router.java
@@ -29,6 +29,9 @@
     /** Of the others, the part that connections to hosts may take. */
     private static final double HOSTS_PART = 0.4;
 
+    /** Of the clients' part, what the door lets in beyond it, so that one that comes can take another's place. */
+    private static final double SPARE_PART = 0.1;
+
     private final StartFacts facts;
     private final Log log;
     private final Function<Outbound, Inbound> module;
@@ -37,6 +40,7 @@
     private final int mostToHosts;
     private final Vertx vertx;
     private final Context context;
+    private boolean rehearses = true;
     private Clients clients;
     private HostConnections hosts;
     private Discovery discovery;
@@ -69,14 +73,19 @@
             hosts = new HostConnections(vertx, facts, mostToHosts, counters, log);
             logic = new LogicTask(context, new Timers(vertx), facts, module, hosts, counters, log);
             discovery = new Discovery(vertx, facts, logic, hosts, counters, log);
-            clients = new Clients(vertx, facts, mostOfClients, logic, counters, log);
+            clients = new Clients(vertx, facts, mostOfClients - Math.max(1, (int) (SPARE_PART * mostOfClients)), logic, counters, log);
             Promise<Void> rehearsed = Promise.promise();
             Promise<Void> heard = Promise.promise();
-            clients.listen().<Void>mapEmpty().onSuccess(listening -> clients.rehearse(
-                    new Rehearsal(vertx, context, facts, module, Math.max(1, mostOfClients / 4), () -> {
+            clients.listen().<Void>mapEmpty().onSuccess(listening -> {
+                if (rehearses) {
+                    clients.rehearse(new Rehearsal(vertx, context, facts, module, Math.max(1, mostOfClients / 4), () -> {
                         log.info("rehearsed", "rpcs", clients.rehearsed());
                         rehearsed.tryComplete();
-                    }))).onComplete(started);
+                    }));
+                } else {
+                    rehearsed.complete();
+                }
+            }).onComplete(started);
             discovery.start(facts.knownHosts(), heard::tryComplete);
             vertx.setTimer(FIRST_LIST_MS, timer -> heard.tryComplete());
             Future.all(rehearsed.future(), heard.future()).onSuccess(both -> {
@@ -88,6 +97,12 @@
                 log.info("listening", "name", facts.name(), "address", facts.listen().ip() + ":" + clients.port()));
     }
 
+    /** Ready as soon as it has heard the list: for embedders whose code is warm already. */
+    public Router unrehearsed() {
+        rehearses = false;
+        return this;
+    }
+
     private void uncaught(Throwable fault) {
         counters.add(Counters.Count.FAULTS);
         log.error("fault", fault);
--- a/src/test/java/ironwind/LogicTest.java
+++ b/src/test/java/ironwind/LogicTest.java
@@ -261,9 +261,17 @@
         assertThat(pool.out).isZero();
     }
 
+    /** Guards against lists that name new hosts without end. */
+    @Test
+    void aHostThatIsGoneIsLetGo() {
+        Scene scene = scene(HostChecks.NONE).list(true, "a:primary");
+        assertThat(scene.host("b")).isNull();
+        assertThat(scene.logic.group(1).members).containsExactly(scene.host("a"));
+    }
+
     @Test
     void amongEqualsTheNewestHeldRpcGoesFirst() {
-        Scene scene = scene(HostChecks.NONE).list(true, "a:gone");
+        Scene scene = scene(HostChecks.NONE).list(true, "a:gone", "b:draining");
         Rpc older = scene.arrive(Scene.ANY);
         Rpc newer = scene.pass(50).arrive(Scene.ANY);
         scene.host("b").room.limit = 1;
--- a/src/test/java/ironwind/net/LogTest.java
+++ b/src/test/java/ironwind/net/LogTest.java
@@ -3,8 +3,11 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import java.io.ByteArrayOutputStream;
+import java.io.IOException;
 import java.io.PrintStream;
 import java.time.Instant;
+import java.util.logging.Level;
+import java.util.logging.Logger;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
@@ -22,6 +25,15 @@
         assertThat(lines.toString().strip()).isEqualTo("1970-01-01T00:00:00Z INFO event key=" + written + " count=3");
     }
 
+    /** Guards against a library's warning that takes a thread along where no file can be opened. */
+    @Test
+    void whatLibrariesLogIsAWarningLikeOthers() {
+        log.withLibraries();
+        Logger.getLogger("io.netty.any").log(Level.WARNING, "Failed to accept", new IOException("Too many open files"));
+        assertThat(lines.toString()).contains("WARN library logger=io.netty.any what=\"Failed to accept\"",
+                "Too many open files");
+    }
+
     /** Guards against a flood of one warning that costs more than what it tells of. */
     @Test
     void aWarningIsToldOnceASecondWithHowManyWereLeftOut() {
--- a/src/test/java/ironwind/net/RouterTest.java
+++ b/src/test/java/ironwind/net/RouterTest.java
@@ -9,6 +9,7 @@
 import ironwind.model.Group;
 import ironwind.model.Inbound;
 import ironwind.model.Span;
+import ironwind.pg.ClientMessage;
 import ironwind.pg.Encoder;
 import ironwind.pg.Failure;
 import ironwind.pg.Frame;
@@ -50,7 +51,7 @@
 import org.junit.jupiter.params.provider.ValueSource;
 
 /** A router on loopback between clients, one group of hosts and discovery, all played from the public protocols. */
-@Timeout(30)
+@Timeout(10)
 class RouterTest {
     private static final String CUT = "no answer, and the connection is cut";
     private static final String SILENT = "no answer at all";
@@ -83,11 +84,16 @@
     void start() throws Exception {
         primary = new StandInHost("primary");
         replica = new StandInHost("replica");
-        discovery = HttpServer.create(new InetSocketAddress(LOOPBACK, 0), 0);
-        discovery.setExecutor(threads);
-        discovery.createContext("/registry/instances", exchange -> {
+        discovery = discovery(lists);
+        facts = StartFacts.read(configuration(discovery));
+    }
+
+    private HttpServer discovery(BlockingQueue<String> answers) throws IOException {
+        HttpServer server = HttpServer.create(new InetSocketAddress(LOOPBACK, 0), 0);
+        server.setExecutor(threads);
+        server.createContext("/registry/instances", exchange -> {
             try {
-                String answer = lists.take();
+                String answer = answers.take();
                 if (answer.equals(SILENT)) {
                     new CountDownLatch(1).await();
                 } else if (answer.equals(CUT)) {
@@ -102,17 +108,21 @@
                 exchange.close();
             }
         });
-        discovery.start();
-        facts = StartFacts.read(new JsonObject().put("name", "n1").put("listen", "127.0.0.1:0")
+        server.start();
+        return server;
+    }
+
+    private static JsonObject configuration(HttpServer discovery) {
+        return new JsonObject().put("name", "n1").put("listen", "127.0.0.1:0")
                 .put("discovery", "127.0.0.1:" + discovery.getAddress().getPort()).put("seed", "8c1f30d27a5be964")
                 .put("limits", new JsonObject().put("sockets", 256)).put("settings", SETTINGS)
-                .put("known", new JsonObject().put("version", 1).put("full", true).put("servers", new JsonArray())));
+                .put("known", new JsonObject().put("version", 1).put("full", true).put("servers", new JsonArray()));
     }
 
     private Router limited(int sockets, Span hostIdle) {
         return new Router(new StartFacts(facts.name(), facts.listen(), facts.discovery(), facts.seed(), sockets, facts.memoryMb(),
                 facts.knownHosts(), facts.deployment(), facts.names(), facts.connectTime(), hostIdle,
-                facts.answerSlack()), new Log(new PrintStream(log, true)));
+                facts.answerSlack()), new Log(new PrintStream(log, true))).unrehearsed();
     }
 
     private void begin(Router next) throws Exception {
@@ -131,15 +141,19 @@
     }
 
     private String list() {
-        return new JsonObject().put("version", 2).put("full", true).put("servers", new JsonArray()
-                .add(primary.entry()).add(replica.entry())).encode();
+        return list(2, primary.entry(), replica.entry());
+    }
+
+    private static String list(int version, JsonObject... entries) {
+        return new JsonObject().put("version", version).put("full", true)
+                .put("servers", new JsonArray(List.of(entries))).encode();
     }
 
     /** A client of a router that has heard the list. */
     private Wire client() throws Exception {
         lists.add(list());
         if (router == null) {
-            begin(new Router(facts, new Log(new PrintStream(log, true))));
+            begin(new Router(facts, new Log(new PrintStream(log, true))).unrehearsed());
         }
         return admitted();
     }
@@ -171,7 +185,10 @@
         "read, full, full, E53300 250", "write, row, row, TDCZ", "write, full/row, row, TDCZ",
         "write, no room/row, row, TDCZ", "write, babble, row, E53300 200", "write, no room, miss, E53300 200",
         "write, miss/row, row, TDCZ", "write, error/row, row, E40003", "write, reset/row, row, E40003",
-        "write, close/row, row, E40003", "write, garbage/row, row, E40003", "write, silent, row, E40003",
+        "write, close/row, row, E40003", "write, garbage/row, row, E40003", "read, row, garbage/row, TDCZ",
+        "write, two rows/row, row, E40003", "read, row, two rows/row, TDCZ", "write, huge/row, row, E40003",
+        "write, half/row, row, E40003", "read, row, half/row, TDCZ", "read, row, tag first/row, TDCZ",
+        "read, row, odd load, TDCZ", "write, silent, row, E40003",
         "write, full, miss, E53300 200", "write, hang up, miss, E53300 200", "write, mute, miss, E53300 200"})
     void eachRpcGetsOneAnswerAndNoNonIdempotentOneRunsTwice(String method, String primarys, String replicas,
             String answer) throws Exception {
@@ -208,6 +225,7 @@
         for (int i = 0; i < 3; i++) {
             client.send(ask(READ, 900));
             assertThat(client.answer()).isEqualTo("TDCZ");
+            Thread.sleep(5);
         }
         assertThat(replica.connections).isEqualTo(1);
         client.send(ask(READ, 900), Encoder.query("SHOW stats"), Encoder.query("nonsense"));
@@ -218,7 +236,8 @@
 
     /** Guards against one client's bad bytes taking others along. */
     @ParameterizedTest(name = "{0}: {1}")
-    @CsvSource({"5100000003, E08P01 closed", "5101000000, E54000 closed", "3f00000004, E08P01 closed",
+    @CsvSource({"5100000003, E08P01 closed", "51ffffffff, E08P01 closed", "517f000000, E54000 closed",
+        "ff00000004, E08P01 closed", "510000000a, E57P05 closed", "'', ' closed'", "5101000000, E54000 closed", "3f00000004, E08P01 closed",
         "50000000045300000004, E0A000", "51000000062000, IZ", "510000000a2f2a20613d00, E42601"})
     void malformedInputEndsInAnErrorForThatClientAlone(String hex, String answer) throws Exception {
         Wire other = client();
@@ -226,11 +245,109 @@
         bad.send(Encoder.startup("client", "core"));
         assertThat(bad.answer()).isEqualTo("RSSSSZ");
         bad.send(HexFormat.of().parseHex(hex));
+        long begun = System.nanoTime();
         assertThat(bad.answer()).isEqualTo(answer);
+        assertThat(System.nanoTime() - begun).isLessThan(TimeUnit.SECONDS.toNanos(3));
+        other = answer.contains("57P05") || answer.equals(" closed") ? admitted() : other;
         other.send(ask(READ, 900));
         assertThat(other.answer()).isEqualTo("TDCZ");
     }
 
+    /** Guards against comments that would be taken at their word, and against groups that come to be by being named. */
+    @ParameterizedTest(name = "{0}")
+    @ValueSource(strings = {"id=x,c=read,d=0,cluster=2", "id=x,c=read,d=-1,cluster=2", "id=x,c=read,d=x,cluster=2",
+        "id=x,c=read,d=8100,cluster=2", "id=x,c=read,d=9223372036854775807,cluster=2", "id=x,c=read,d=9,cluster=3",
+        "id=x,c=read,d=9,cluster=4294967298", "id=x,c=nosuch,d=9,cluster=2", "c=read,d=9,cluster=2",
+        "id=x,c=read,d=9,cluster=2,after=soon", "id=open,c=read,d=9,cluster=2", "id=x,c=read,d=9,id=y,cluster=2"})
+    void whatCannotBeTakenIsAnsweredWithAnErrorAndReachesNoHost(String comment) throws Exception {
+        replica.acts = new String[] {"wait"};
+        Wire other = client();
+        other.send(Encoder.query("/* id=open,c=read,d=2000,cluster=2 */ SELECT val FROM state WHERE uid = 'k'"));
+        replica.requests.take();
+        Wire bad = admitted();
+        bad.send(Encoder.query("/* " + comment + " */ SELECT 2"), Encoder.query(""));
+        assertThat(bad.answer()).isEqualTo("E42601");
+        assertThat(bad.answer()).isEqualTo("IZ");
+        replica.released.countDown();
+        assertThat(other.answer()).isEqualTo("TDCZ");
+        assertThat(replica.requests).isEmpty();
+    }
+
+    /** Guards against connections that say nothing and take all descriptors: they give way, known ones stay. */
+    @Test
+    void silentConnectionsGiveWayToThoseThatSpeak() throws Exception {
+        begin(limited(32 + 20, facts.hostIdleTime()));
+        Wire known = client();
+        known.send(ask(READ, 900));
+        assertThat(known.answer()).isEqualTo("TDCZ");
+        List<Wire> silent = new ArrayList<>();
+        for (int i = 0; i < 60; i++) {
+            silent.add(connect());
+        }
+        Wire late = admitted();
+        for (Wire client : List.of(late, known)) {
+            client.send(ask(READ, 900));
+            assertThat(client.answer()).isEqualTo("TDCZ");
+        }
+        for (Wire client : silent.subList(0, 48)) {
+            assertThat(client.answer()).isEqualTo(" closed");
+        }
+        assertThat(silent.get(59).answer()).isEqualTo("E57P05 closed");
+    }
+
+    /** Guards against what a host sends behind an answer becoming the answer to the next request. */
+    @ParameterizedTest
+    @ValueSource(strings = {"row and copy", "row and late copy", "row and noise"})
+    void whatComesBehindAnAnswerIsNoAnswer(String act) throws Exception {
+        replica.acts = new String[] {act, "row"};
+        Wire client = client();
+        client.send(ask(READ, 900));
+        assertThat(client.answer()).isEqualTo("TDCZ");
+        value = "the next".getBytes(StandardCharsets.UTF_8);
+        client.send(ask(READ, 900));
+        assertThat(client.answer()).isEqualTo("TDCZ");
+        assertThat(client.lastData).endsWith(value);
+        assertThat(replica.connections).isEqualTo(2);
+    }
+
+    /** Guards against a rehearsal that reaches hosts, or whose answers reach clients. */
+    @Test
+    void theRehearsalStaysInside() throws Exception {
+        begin(new Router(facts, new Log(new PrintStream(log, true))));
+        Wire client = client();
+        client.send(Encoder.query("/* id=rehearsal-1,c=0,d=9,cluster=0 */ SELECT 1"), Encoder.query("SHOW stats"));
+        assertThat(client.answer()).isEqualTo("E42601");
+        assertThat(client.answer()).isEqualTo("TDCZ");
+        assertThat(new String(client.lastData, StandardCharsets.UTF_8)).contains("rpcs=0 ", "call_outs=0 ");
+        assertThat(primary.connections + replica.connections).isZero();
+        assertThat(log.toString()).containsPattern("INFO rehearsed rpcs=[1-9]");
+    }
+
+    /** Guards against news of the old address, late or held back, that overrules the new one's. */
+    @Test
+    void aReloadMovesTheWatchAndLeavesWhatTheOldOneSays() throws Exception {
+        Wire client = client();
+        client.send(ask(READ, 900));
+        assertThat(client.answer()).isEqualTo("TDCZ");
+        StandInHost third = new StandInHost("replica");
+        BlockingQueue<String> news = new LinkedBlockingQueue<>();
+        HttpServer next = discovery(news);
+        news.add(list(1, primary.entry(), third.entry().put("id", "third")));
+        router.reload(StartFacts.read(configuration(next))).await(10, TimeUnit.SECONDS);
+        while (third.requests.isEmpty()) {
+            client.send(ask(READ, 900));
+            assertThat(client.answer()).isEqualTo("TDCZ");
+        }
+        lists.add(list(9, primary.entry(), replica.entry()));
+        replica.requests.clear();
+        for (int i = 0; i < 5; i++) {
+            client.send(ask(READ, 900));
+            assertThat(client.answer()).isEqualTo("TDCZ");
+        }
+        assertThat(replica.requests).isEmpty();
+        next.stop(0);
+    }
+
     /** Guards against a request that crosses its host's closing of an idle connection, and may have run. */
     @Test
     void connectionsToHostsAreClosedBeforeTheirHostsCloseThem() throws Exception {
@@ -244,10 +361,10 @@
         assertThat(replica.connections).isEqualTo(2);
     }
 
-    /** Of three sockets two are for clients and one is for hosts. */
+    /** Of four sockets two are for clients, one is for one that comes, and one is for hosts. */
     @Test
     void whereSocketsAreShortIdleConnectionsGiveWay() throws Exception {
-        begin(limited(64 + 3, facts.hostIdleTime()));
+        begin(limited(32 + 4, facts.hostIdleTime()));
         Wire first = client();
         Wire second = admitted();
         second.send(ask(READ, 900));
@@ -367,7 +484,7 @@
     /** One end of a connection, read message by message. */
     private static final class Wire implements AutoCloseable {
         private final Socket socket;
-        private final Frames frames = new Frames(false, HostMessage.TYPES, 1 << 20);
+        private final Frames frames = new Frames(false, HostMessage.TYPES + ClientMessage.TYPES, 1 << 20);
         private byte[] lastData;
 
         Wire(Socket socket) {
@@ -504,6 +621,25 @@
                 case "full" -> wire.send(Encoder.failure(new Failure("53300", "full", null)));
                 case "miss" -> wire.send(Encoder.failure(new Failure("25006", "no primary", null)));
                 case "error" -> wire.send(Encoder.failure(new Failure("XX000", "broken", null)));
+                case "two rows" -> {
+                    byte[] whole = Encoder.row(Row.ofText("val", "x"));
+                    wire.send(Arrays.copyOf(whole, whole.length - 6 - 14));
+                    wire.send(Encoder.row(Row.ofText("val", "y")));
+                }
+                case "tag first" -> wire.send(HexFormat.of().parseHex("430000000d53454c454354203100"));
+                case "huge" -> wire.send(HexFormat.of().parseHex("44b2d05e00"));
+                case "half" -> wire.send(HexFormat.of().parseHex("5400000020"));
+                case "odd load" -> row(wire, HexFormat.of().parseHex("53000000086c6f6164"), Encoder.ready());
+                case "row and copy" -> {
+                    row(wire, Encoder.ready());
+                    row(wire, Encoder.ready());
+                }
+                case "row and late copy" -> {
+                    row(wire, Encoder.ready());
+                    Thread.sleep(1);
+                    row(wire, Encoder.ready());
+                }
+                case "row and noise" -> row(wire, Encoder.ready(), "noise".getBytes(StandardCharsets.UTF_8));
                 case "garbage" -> wire.send("what is this?".getBytes(StandardCharsets.UTF_8));
                 case "reset" -> wire.socket.setSoLinger(true, 0);
                 default -> { }
--- a/src/test/java/ironwind/pg/PgTest.java
+++ b/src/test/java/ironwind/pg/PgTest.java
@@ -4,6 +4,7 @@
 import static org.assertj.core.api.Assertions.assertThatThrownBy;
 
 import java.io.ByteArrayOutputStream;
+import java.nio.ByteBuffer;
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.List;
@@ -90,7 +91,7 @@
     @ParameterizedTest
     @ValueSource(ints = {0, 1, 255, 65_536})
     void aRowPassesThroughByteByByte(int size) {
-        byte[] data = new byte[6 + size];
+        byte[] data = ByteBuffer.allocate(6 + size).putShort((short) 1).putInt(size).array();
         for (int i = 0; i < size; i++) {
             data[6 + i] = (byte) i;
         }
