--- a/src/main/java/ironwind/Logic.java
+++ b/src/main/java/ironwind/Logic.java
@@ -194,10 +194,10 @@
         hosts.values().removeIf(this::forgets);
     }
 
-    /** Guards against lists that name new hosts without end: one that is gone, and owes us nothing, is let go. */
+    /** Guards against lists that name new hosts without end: what is gone, and owes us nothing, is let go. */
     private boolean forgets(Host host) {
-        boolean goes = host.listing == Host.Listing.GONE && host.out.isEmpty() && (host.suspect || !sendable(host));
-        return goes && host.group.members.remove(host);
+        boolean goes = host.listing == Host.Listing.GONE && (host.suspect || !sendable(host));
+        return goes && host.out.isEmpty() && host.group.members.remove(host);
     }
 
     private void relist(Host host, Host.Listing listing) {
