--- a/src/test/java/ironwind/LogicTest.java
+++ b/src/test/java/ironwind/LogicTest.java
@@ -261,6 +261,18 @@
         assertThat(pool.out).isZero();
     }
 
+    /** Guards against a suspect primary that no read needs, and that so stays without writes for ever. */
+    @Test
+    void aSuspectPrimaryIsTriedWithAReadThoughReplicasPass() {
+        Scene scene = scene(HostChecks.NONE).list(true, "a:primary", "b");
+        Rpc write = scene.arrive(Scene.WRITE);
+        scene.pass(100).end(write, Outcome.UNREACHED, Role.UNTOLD, -1);
+        assertThat(scene.host("a").suspect).isTrue();
+        scene.logic.probed(scene.now(), scene.host("a"), true, Role.UNTOLD, Moment.NEVER);
+        scene.pass(500);
+        assertThat(Scene.path(scene.arrive(Scene.ANY))).isEqualTo("a");
+    }
+
     /** Guards against lists that name new hosts without end. */
     @Test
     void aHostThatIsGoneIsLetGo() {
