Re-read: one place for an error to a client, a spoilt answer, a freed socket; same actions

Found in the change and mended: Clients, HostConnections and Rehearsal set timers by hand beside Timers.after; three places wrote a fault as an answer to a client (now refuse, with the encoder's form); two decided GARBLED or BROKE_UNWRITTEN (now spoilt); a run-once callback counted sockets, though close() runs once (now release); 'started' repeated what Frames knows; HostWord.served had become one comparison; the keep predicate was negated three times (now letGo); the rehearsal's count went round by Clients. Encoder wrote a row's head and tail twice over.

--- a/src/main/java/ironwind/net/ClientConnection.java
+++ b/src/main/java/ironwind/net/ClientConnection.java
@@ -14,6 +14,7 @@
 import ironwind.pg.Statement;
 import java.util.ArrayDeque;
 import java.util.Deque;
+import java.util.function.Function;
 
 /** One client's connection: its commands are taken as they come and answered in their order. */
 final class ClientConnection {
@@ -26,7 +27,6 @@
     private final Clients clients;
     private final Frames frames = new Frames(true, ClientMessage.TYPES, Pg.LARGEST_MESSAGE);
     private final Deque<Exchange> exchanges = new ArrayDeque<>();
-    private boolean started;
     private boolean served;
     private boolean skipping;
     /** Since when it has waited for what it waits for now: a start-up, the rest of a message, a command. */
@@ -53,7 +53,7 @@
         }
         boolean idle = isIdle();
         frames.add(buffer.getBytes());
-        if (idle && started) {
+        if (idle && !frames.atStartup()) {
             since = Clock.read();
         }
         proceed();
@@ -85,10 +85,9 @@
         if (closed || closing == Ending.CLIENT_MALFORMED) {
             return;
         }
-        clients.malformed(fault);
         closing = Ending.CLIENT_MALFORMED;
         frames.clear();
-        add(null).answer(Encoder.fatal(new Failure(fault.code, fault.getMessage(), null)));
+        refuse(fault, Encoder::fatal);
     }
 
     private Frame next() {
@@ -115,7 +114,6 @@
             command(query.sql());
         } else if (message instanceof ClientMessage.Startup) {
             frames.started();
-            started = true;
             since = Clock.read();
             write(Encoder.welcome());
         } else if (message instanceof ClientMessage.Encryption) {
@@ -123,7 +121,7 @@
         } else if (message instanceof ClientMessage.Extended) {
             if (!skipping) {
                 skipping = true;
-                refuse(new PgFault(PgFault.UNSUPPORTED, "only simple queries are spoken here"), false);
+                refuse(new PgFault(PgFault.UNSUPPORTED, "only simple queries are spoken here"), Encoder::error);
             }
         } else if (message instanceof ClientMessage.Sync) {
             skipping = false;
@@ -137,15 +135,14 @@
         try {
             clients.command(this, sql);
         } catch (PgFault fault) {
-            refuse(fault, true);
+            refuse(fault, Encoder::failure);
         }
     }
 
-    /** One command is answered with an error; those that follow are taken as ever. */
-    private void refuse(PgFault fault, boolean ready) {
+    /** The error that is owed in place of an answer, in one of the encoder's forms. */
+    private void refuse(PgFault fault, Function<Failure, byte[]> form) {
         clients.malformed(fault);
-        Failure failure = new Failure(fault.code, fault.getMessage(), null);
-        add(null).answer(ready ? Encoder.failure(failure) : Encoder.error(failure));
+        add(null).answer(form.apply(new Failure(fault.code, fault.getMessage(), null)));
     }
 
     Exchange add(Statement statement) {
@@ -180,13 +177,13 @@
         }
     }
 
-    boolean isIdle() {
+    private boolean isIdle() {
         return exchanges.isEmpty() && !frames.midway();
     }
 
     /** Whether it waits for the rest of something: a start-up, or a message that has begun. */
     boolean isHalfway() {
-        return !parting && closing != Ending.CLIENT_MALFORMED && (!started || frames.midway());
+        return closing != Ending.CLIENT_MALFORMED && (frames.atStartup() || frames.midway());
     }
 
     Moment since() {
@@ -195,7 +192,7 @@
 
     /** How well a connection is known, for which is to give way to others; null while it carries something. */
     Standing standing() {
-        return parting ? Standing.PARTING : !started ? Standing.STRANGER
+        return parting ? Standing.PARTING : frames.atStartup() ? Standing.STRANGER
                 : !isIdle() ? null : served ? Standing.SERVED : Standing.GREETED;
     }
 
--- a/src/main/java/ironwind/net/Clients.java
+++ b/src/main/java/ironwind/net/Clients.java
@@ -38,7 +38,7 @@
     /** The settings tell how long clients wait; what is this many times as long is no such time. */
     private static final double MOST_DEADLINES = 4;
 
-    private final Vertx vertx;
+    private final Timers timers;
     private final NetServer server;
     private final StartFacts facts;
     private final int most;
@@ -55,7 +55,7 @@
 
     Clients(Vertx vertx, StartFacts facts, int most, LogicTask logic, Counters counters, Log log) {
         this.server = vertx.createNetServer(new NetServerOptions().setTcpNoDelay(true));
-        this.vertx = vertx;
+        this.timers = new Timers(vertx);
         this.facts = facts;
         this.most = most;
         this.logic = logic;
@@ -73,19 +73,16 @@
         return server.actualPort();
     }
 
-    /** Until the router is ready it is its rehearsal's host, too. */
+    /** Until the router is ready, and a little longer for what is on its way, it is its rehearsal's host, too. */
     void rehearse(Rehearsal rehearsed) {
         rehearsal = rehearsed;
         rehearsed.start(new Address(facts.listen().ip(), port()));
     }
 
-    int rehearsed() {
-        return rehearsal.begun();
-    }
-
     /** From now on empty queries are answered: the front may send clients. */
     void ready() {
         ready = true;
+        timers.after(PATIENCE, () -> rehearsal = null);
         askedWhetherReady.forEach(exchange -> exchange.answer(Encoder.emptyQuery()));
         askedWhetherReady.clear();
     }
@@ -133,7 +130,7 @@
     }
 
     void later(Span span, Runnable action) {
-        vertx.setTimer(Timers.millis(span), timer -> action.run());
+        timers.after(span, action);
     }
 
     /** Takes one command; a {@link PgFault} tells what is wrong with it. */
--- a/src/main/java/ironwind/net/HostConnection.java
+++ b/src/main/java/ironwind/net/HostConnection.java
@@ -23,7 +23,6 @@
     private boolean closed;
     /** Whether the rest of a message is being waited for. */
     private boolean limited;
-    private Runnable released = () -> { };
     private Use use;
     private HostWord word = new HostWord();
     private Future<Void> written;
@@ -50,19 +49,14 @@
     }
 
     /** The socket is there: says hello, and waits for the host's welcome. */
-    void opened(NetSocket opened, Runnable whenClosed) {
+    void opened(NetSocket opened) {
         socket = opened;
         if (closed) {
-            socket.closeHandler(nothing -> whenClosed.run());
-            socket.close();
+            release();
             return;
         }
         socket.handler(this::received);
-        released = whenClosed;
-        socket.closeHandler(nothing -> {
-            release();
-            broken();
-        });
+        socket.closeHandler(nothing -> broken());
         socket.exceptionHandler(fault -> broken());
         socket.write(Buffer.buffer(Encoder.startup(USER, DATABASE)));
     }
@@ -122,16 +116,19 @@
                 });
             }
         } catch (PgFault fault) {
-            pool.garbled(this, fault);
-            end(use == null ? Ending.SURPLUS : wasWritten() ? Ending.GARBLED : Ending.BROKE_UNWRITTEN);
+            spoilt(fault);
         }
     }
 
+    private void spoilt(PgFault fault) {
+        pool.garbled(this, fault);
+        end(wasWritten() ? Ending.GARBLED : Ending.BROKE_UNWRITTEN);
+    }
+
     /** Guards against an answer that has begun and never ends: its host is not silent, and all others wait. */
     private void stuck() {
         if (!closed && frames.midway()) {
-            pool.garbled(this, new PgFault(PgFault.PROTOCOL, "a message stays without its end"));
-            end(wasWritten() ? Ending.GARBLED : Ending.BROKE_UNWRITTEN);
+            spoilt(new PgFault(PgFault.PROTOCOL, "a message stays without its end"));
         }
     }
 
@@ -199,7 +196,6 @@
             closed = true;
             pool.forget(this);
             if (socket != null) {
-                socket.close();
                 release();
             }
         }
@@ -207,8 +203,7 @@
 
     /** Its descriptor is free, or will be before another is opened. */
     private void release() {
-        Runnable once = released;
-        released = () -> { };
-        once.run();
+        socket.close();
+        pool.released();
     }
 }
--- a/src/main/java/ironwind/net/HostConnections.java
+++ b/src/main/java/ironwind/net/HostConnections.java
@@ -33,7 +33,8 @@
     /** What a host sends behind an answer of its own accord has come by then. */
     private static final Span QUIET = Span.ofMillis(3);
 
-    private final Vertx vertx;
+    private final Timers timers;
+    private final Runnable stopSweeping;
     private final NetClient client;
     private final Span connectTime;
     private final Span idleTime;
@@ -45,11 +46,11 @@
     private final Map<String, Address> addresses = new HashMap<>();
     private final Map<String, Deque<HostConnection>> idle = new LinkedHashMap<>();
     private final Set<HostConnection> open = new HashSet<>();
-    /** Sockets that are coming up, open or not yet closed: what descriptors are counted by. */
+    /** Sockets that are coming up, whether still wanted or not, or open: what descriptors are counted by. */
     private int sockets;
 
     HostConnections(Vertx vertx, StartFacts facts, int most, Counters counters, Log log) {
-        this.vertx = vertx;
+        this.timers = new Timers(vertx);
         this.connectTime = facts.connectTime();
         this.idleTime = facts.hostIdleTime().times(IDLE_PART);
         this.most = most;
@@ -57,7 +58,8 @@
         this.counters = counters;
         this.log = log;
         this.client = vertx.createNetClient(new NetClientOptions().setConnectTimeout(Timers.millis(connectTime)));
-        vertx.setPeriodic(Timers.millis(idleTime.times(1 - IDLE_PART)), timer -> closeStale());
+        long sweep = vertx.setPeriodic(Timers.millis(idleTime.times(1 - IDLE_PART)), timer -> closeStale());
+        this.stopSweeping = () -> vertx.cancelTimer(sweep);
     }
 
     /** Where a host listens; what is open to an address it had before is closed. */
@@ -68,11 +70,10 @@
         }
     }
 
-    /** Lets go of all hosts that are not to be kept. */
-    void keep(Predicate<String> hostIds) {
-        addresses.keySet().removeIf(hostIds.negate());
-        idle.keySet().stream().filter(hostIds.negate()).toList().forEach(this::closeIdle);
-        idle.keySet().removeIf(hostIds.negate());
+    void letGo(Predicate<String> hostIds) {
+        addresses.keySet().removeIf(hostIds);
+        idle.keySet().stream().filter(hostIds).toList().forEach(this::closeIdle);
+        idle.keySet().removeIf(hostIds);
     }
 
     /** Finds a connection for a use; it may have to come up first. Null where there is no socket for it. */
@@ -90,13 +91,13 @@
         HostConnection connection = new HostConnection(hostId, this, use);
         open.add(connection);
         counters.add(Count.HOST_CONNECTIONS);
-        vertx.setTimer(Timers.millis(connectTime), timer -> connection.failed(Ending.NEVER_UP));
+        later(() -> connection.failed(Ending.NEVER_UP));
         sockets++;
         client.connect(SocketAddress.inetSocketAddress(address.port(), address.ip())).onComplete(result -> {
             if (result.succeeded()) {
-                connection.opened(result.result(), () -> sockets--);
+                connection.opened(result.result());
             } else {
-                sockets--;
+                released();
                 boolean refused = result.cause() instanceof ConnectException;
                 connection.failed(refused ? Ending.REFUSED : Ending.NEVER_UP);
             }
@@ -145,6 +146,10 @@
         }
     }
 
+    void released() {
+        sockets--;
+    }
+
     void ended(Ending ending) {
         counters.add(ending);
     }
@@ -155,7 +160,7 @@
 
     /** After the time in which a host that runs lets a connection come up. */
     void later(Runnable action) {
-        vertx.setTimer(Timers.millis(connectTime), timer -> action.run());
+        timers.after(connectTime, action);
     }
 
     void garbled(HostConnection connection, PgFault fault) {
@@ -183,6 +188,7 @@
     }
 
     void stop() {
+        stopSweeping.run();
         new ArrayList<>(open).forEach(HostConnection::close);
     }
 }
--- a/src/main/java/ironwind/net/HostWord.java
+++ b/src/main/java/ironwind/net/HostWord.java
@@ -54,16 +54,12 @@
 
     /** How it ended, if no more comes. */
     Ending ending() {
-        return failed != null ? failed : served() ? Ending.SERVED : Ending.GARBLED;
+        return failed != null ? failed : tag != null ? Ending.SERVED : Ending.GARBLED;
     }
 
     /** Whether all that an answer needs has come: the rest is only whether the connection may be used again. */
     boolean isWhole() {
-        return failed != null || served();
-    }
-
-    private boolean served() {
-        return tag != null;
+        return failed != null || tag != null;
     }
 
     Row row() {
--- a/src/main/java/ironwind/net/LogicTask.java
+++ b/src/main/java/ironwind/net/LogicTask.java
@@ -121,7 +121,7 @@
         put(null, time -> {
             before.run();
             logic.listed(time, complete, entries);
-            hosts.keep(id -> logic.host(id) != null);
+            hosts.letGo(id -> logic.host(id) == null);
         });
     }
 
@@ -163,7 +163,7 @@
             return;
         }
         put(null, time -> {
-            close(exchange);
+            freeId(exchange);
             if (exchange.rpc != null && exchange.rpc.stage != Rpc.Stage.OVER) {
                 counters.add(Count.LEFT);
                 logic.left(time, exchange.rpc);
@@ -247,13 +247,13 @@
 
     /** The one place from which an RPC's final answer goes out. */
     private void answer(Exchange exchange, Count count, byte[]... parts) {
-        close(exchange);
+        freeId(exchange);
         if (exchange.answer(parts)) {
             counters.add(count);
         }
     }
 
-    private void close(Exchange exchange) {
+    private void freeId(Exchange exchange) {
         openIds.remove(exchange.statement.facts().get("id"), exchange);
     }
 
--- a/src/main/java/ironwind/net/Rehearsal.java
+++ b/src/main/java/ironwind/net/Rehearsal.java
@@ -23,6 +23,7 @@
 import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.function.Function;
+import java.util.function.IntConsumer;
 
 /**
  * Plays RPCs through all of the router before it says that it is ready, so that what serves the first clients is
@@ -45,12 +46,13 @@
     private final HostConnections hosts;
     private final LogicTask task;
     private final Set<String> ids = new HashSet<>();
-    private final Runnable done;
+    private final IntConsumer done;
     private int begun;
     private boolean over;
 
+    /** {@code done} is told how many RPCs were played. */
     Rehearsal(Vertx vertx, Context context, StartFacts facts, Function<Outbound, Inbound> module, int most,
-            Runnable done) {
+            IntConsumer done) {
         this.context = context;
         this.facts = facts.withConnectTime(LONGEST);
         this.random = new SplittableRandom(facts.seed());
@@ -58,8 +60,9 @@
         Counters counters = new Counters();
         Log log = new Log(new PrintStream(OutputStream.nullOutputStream()));
         this.hosts = new HostConnections(vertx, this.facts, Math.min(MOST_SOCKETS, most), counters, log);
-        this.task = new LogicTask(context, new Timers(vertx), this.facts, module, hosts, counters, log);
-        vertx.setTimer(Timers.millis(LONGEST), timer -> end());
+        Timers timers = new Timers(vertx);
+        this.task = new LogicTask(context, timers, this.facts, module, hosts, counters, log);
+        timers.after(LONGEST, this::end);
     }
 
     /** Begins, with the router's own address as that of all hosts. */
@@ -101,15 +104,11 @@
                 Map.of("applied_ms", Long.toString(System.currentTimeMillis())));
     }
 
-    int begun() {
-        return begun;
-    }
-
     private void end() {
         if (!over) {
             over = true;
             hosts.stop();
-            done.run();
+            done.accept(begun);
         }
     }
 }
--- a/src/main/java/ironwind/net/Router.java
+++ b/src/main/java/ironwind/net/Router.java
@@ -58,9 +58,11 @@
         int sockets = Math.max(2, facts.mostSockets() - OTHER_DESCRIPTORS);
         this.mostToHosts = (int) (HOSTS_PART * sockets);
         this.mostOfClients = sockets - mostToHosts;
-        this.vertx = Vertx.builder().withTransport(new Doorway(mostOfClients)).with(new VertxOptions().setEventLoopPoolSize(1).setWorkerPoolSize(1)
-                .setInternalBlockingPoolSize(1).setFileSystemOptions(new FileSystemOptions()
-                        .setFileCachingEnabled(false).setClassPathResolvingEnabled(false))).build();
+        this.vertx = Vertx.builder().withTransport(new Doorway(mostOfClients))
+                .with(new VertxOptions().setEventLoopPoolSize(1).setWorkerPoolSize(1).setInternalBlockingPoolSize(1)
+                        .setFileSystemOptions(new FileSystemOptions()
+                                .setFileCachingEnabled(false).setClassPathResolvingEnabled(false)))
+                .build();
         this.context = vertx.getOrCreateContext();
     }
 
@@ -73,13 +75,15 @@
             hosts = new HostConnections(vertx, facts, mostToHosts, counters, log);
             logic = new LogicTask(context, new Timers(vertx), facts, module, hosts, counters, log);
             discovery = new Discovery(vertx, facts, logic, hosts, counters, log);
-            clients = new Clients(vertx, facts, mostOfClients - Math.max(1, (int) (SPARE_PART * mostOfClients)), logic, counters, log);
+            int spare = Math.max(1, (int) (SPARE_PART * mostOfClients));
+            clients = new Clients(vertx, facts, mostOfClients - spare, logic, counters, log);
             Promise<Void> rehearsed = Promise.promise();
             Promise<Void> heard = Promise.promise();
             clients.listen().<Void>mapEmpty().onSuccess(listening -> {
                 if (rehearses) {
-                    clients.rehearse(new Rehearsal(vertx, context, facts, module, Math.max(1, mostOfClients / 4), () -> {
-                        log.info("rehearsed", "rpcs", clients.rehearsed());
+                    int most = Math.max(1, mostOfClients / 4);
+                    clients.rehearse(new Rehearsal(vertx, context, facts, module, most, played -> {
+                        log.info("rehearsed", "rpcs", played);
                         rehearsed.tryComplete();
                     }));
                 } else {
--- a/src/main/java/ironwind/pg/Encoder.java
+++ b/src/main/java/ironwind/pg/Encoder.java
@@ -32,23 +32,23 @@
 
     /** A row, and parameters that changed with it. */
     public static byte[] row(Row row, Map<String, String> parameters) {
-        Writer writer = new Writer().raw(beforeValue(row)).raw(row.data()).raw(afterValue(row));
+        Writer writer = afterValue(beforeValue(row).raw(row.data()), row);
         parameters.forEach((name, value) -> writer.begin('S').text(name).text(value).end());
         return writer.raw(READY).bytes();
     }
 
     /** A row in parts, so that a large value is not copied. */
     public static byte[][] rowInParts(Row row) {
-        return new byte[][] {beforeValue(row), row.data(), new Writer().raw(afterValue(row)).raw(READY).bytes()};
+        return new byte[][] {beforeValue(row).bytes(), row.data(), afterValue(new Writer(), row).raw(READY).bytes()};
     }
 
-    private static byte[] beforeValue(Row row) {
-        return new Writer().begin('T').raw(row.description()).end().int1('D').int4(LENGTH_BYTES + row.data().length)
-                .bytes();
+    private static Writer beforeValue(Row row) {
+        return new Writer().begin('T').raw(row.description()).end()
+                .int1('D').int4(LENGTH_BYTES + row.data().length);
     }
 
-    private static byte[] afterValue(Row row) {
-        return new Writer().begin('C').text(row.tag()).end().bytes();
+    private static Writer afterValue(Writer writer, Row row) {
+        return writer.begin('C').text(row.tag()).end();
     }
 
     public static byte[] failure(Failure failure) {
--- a/src/main/java/ironwind/pg/Frames.java
+++ b/src/main/java/ironwind/pg/Frames.java
@@ -91,6 +91,11 @@
         startup = false;
     }
 
+    /** Whether the start-up message is still to come. */
+    public boolean atStartup() {
+        return startup;
+    }
+
     /** Drops what has come. */
     public void clear() {
         from = 0;
--- a/src/main/java/ironwind/pg/Statement.java
+++ b/src/main/java/ironwind/pg/Statement.java
@@ -23,7 +23,8 @@
         Map<String, String> facts = new LinkedHashMap<>();
         for (String pair : trimmed.substring(OPEN.length(), close).strip().split(",")) {
             int equals = pair.indexOf('=');
-            if (equals > 0 && facts.put(pair.substring(0, equals).strip(), pair.substring(equals + 1).strip()) != null) {
+            if (equals > 0
+                    && facts.put(pair.substring(0, equals).strip(), pair.substring(equals + 1).strip()) != null) {
                 throw new PgFault(PgFault.SYNTAX, "the comment names something twice");
             }
         }
--- a/src/test/java/ironwind/net/RouterTest.java
+++ b/src/test/java/ironwind/net/RouterTest.java
@@ -120,8 +120,8 @@
     }
 
     private Router limited(int sockets, Span hostIdle) {
-        return new Router(new StartFacts(facts.name(), facts.listen(), facts.discovery(), facts.seed(), sockets, facts.memoryMb(),
-                facts.knownHosts(), facts.deployment(), facts.names(), facts.connectTime(), hostIdle,
+        return new Router(new StartFacts(facts.name(), facts.listen(), facts.discovery(), facts.seed(), sockets,
+                facts.memoryMb(), facts.knownHosts(), facts.deployment(), facts.names(), facts.connectTime(), hostIdle,
                 facts.answerSlack()), new Log(new PrintStream(log, true))).unrehearsed();
     }
 
@@ -172,6 +172,11 @@
         return wire;
     }
 
+    private void readIsServed(Wire client) throws IOException {
+        client.send(ask(READ, 900));
+        assertThat(client.answer()).isEqualTo("TDCZ");
+    }
+
     private byte[] ask(String form, long waits) {
         return Encoder.query(form.formatted(asked++, waits));
     }
@@ -223,8 +228,7 @@
     void oneConnectionCarriesManyRequestsAndAnswersComeInOrder() throws Exception {
         Wire client = client();
         for (int i = 0; i < 3; i++) {
-            client.send(ask(READ, 900));
-            assertThat(client.answer()).isEqualTo("TDCZ");
+            readIsServed(client);
             Thread.sleep(5);
         }
         assertThat(replica.connections).isEqualTo(1);
@@ -237,7 +241,8 @@
     /** Guards against one client's bad bytes taking others along. */
     @ParameterizedTest(name = "{0}: {1}")
     @CsvSource({"5100000003, E08P01 closed", "51ffffffff, E08P01 closed", "517f000000, E54000 closed",
-        "ff00000004, E08P01 closed", "510000000a, E57P05 closed", "'', ' closed'", "5101000000, E54000 closed", "3f00000004, E08P01 closed",
+        "ff00000004, E08P01 closed", "510000000a, E57P05 closed", "'', ' closed'",
+        "5101000000, E54000 closed", "3f00000004, E08P01 closed",
         "50000000045300000004, E0A000", "51000000062000, IZ", "510000000a2f2a20613d00, E42601"})
     void malformedInputEndsInAnErrorForThatClientAlone(String hex, String answer) throws Exception {
         Wire other = client();
@@ -249,8 +254,7 @@
         assertThat(bad.answer()).isEqualTo(answer);
         assertThat(System.nanoTime() - begun).isLessThan(TimeUnit.SECONDS.toNanos(3));
         other = answer.contains("57P05") || answer.equals(" closed") ? admitted() : other;
-        other.send(ask(READ, 900));
-        assertThat(other.answer()).isEqualTo("TDCZ");
+        readIsServed(other);
     }
 
     /** Guards against comments that would be taken at their word, and against groups that come to be by being named. */
@@ -278,16 +282,14 @@
     void silentConnectionsGiveWayToThoseThatSpeak() throws Exception {
         begin(limited(32 + 20, facts.hostIdleTime()));
         Wire known = client();
-        known.send(ask(READ, 900));
-        assertThat(known.answer()).isEqualTo("TDCZ");
+        readIsServed(known);
         List<Wire> silent = new ArrayList<>();
         for (int i = 0; i < 60; i++) {
             silent.add(connect());
         }
         Wire late = admitted();
         for (Wire client : List.of(late, known)) {
-            client.send(ask(READ, 900));
-            assertThat(client.answer()).isEqualTo("TDCZ");
+            readIsServed(client);
         }
         for (Wire client : silent.subList(0, 48)) {
             assertThat(client.answer()).isEqualTo(" closed");
@@ -301,11 +303,9 @@
     void whatComesBehindAnAnswerIsNoAnswer(String act) throws Exception {
         replica.acts = new String[] {act, "row"};
         Wire client = client();
-        client.send(ask(READ, 900));
-        assertThat(client.answer()).isEqualTo("TDCZ");
+        readIsServed(client);
         value = "the next".getBytes(StandardCharsets.UTF_8);
-        client.send(ask(READ, 900));
-        assertThat(client.answer()).isEqualTo("TDCZ");
+        readIsServed(client);
         assertThat(client.lastData).endsWith(value);
         assertThat(replica.connections).isEqualTo(2);
     }
@@ -327,22 +327,19 @@
     @Test
     void aReloadMovesTheWatchAndLeavesWhatTheOldOneSays() throws Exception {
         Wire client = client();
-        client.send(ask(READ, 900));
-        assertThat(client.answer()).isEqualTo("TDCZ");
+        readIsServed(client);
         StandInHost third = new StandInHost("replica");
         BlockingQueue<String> news = new LinkedBlockingQueue<>();
         HttpServer next = discovery(news);
         news.add(list(1, primary.entry(), third.entry().put("id", "third")));
         router.reload(StartFacts.read(configuration(next))).await(10, TimeUnit.SECONDS);
         while (third.requests.isEmpty()) {
-            client.send(ask(READ, 900));
-            assertThat(client.answer()).isEqualTo("TDCZ");
+            readIsServed(client);
         }
         lists.add(list(9, primary.entry(), replica.entry()));
         replica.requests.clear();
         for (int i = 0; i < 5; i++) {
-            client.send(ask(READ, 900));
-            assertThat(client.answer()).isEqualTo("TDCZ");
+            readIsServed(client);
         }
         assertThat(replica.requests).isEmpty();
         next.stop(0);
@@ -353,11 +350,9 @@
     void connectionsToHostsAreClosedBeforeTheirHostsCloseThem() throws Exception {
         begin(limited(facts.mostSockets(), Span.ofMillis(200)));
         Wire client = client();
-        client.send(ask(READ, 900));
-        assertThat(client.answer()).isEqualTo("TDCZ");
+        readIsServed(client);
         assertThat(replica.ends.take()).isEqualTo("closed by the router");
-        client.send(ask(READ, 900));
-        assertThat(client.answer()).isEqualTo("TDCZ");
+        readIsServed(client);
         assertThat(replica.connections).isEqualTo(2);
     }
 
@@ -367,14 +362,12 @@
         begin(limited(32 + 4, facts.hostIdleTime()));
         Wire first = client();
         Wire second = admitted();
-        second.send(ask(READ, 900));
-        assertThat(second.answer()).isEqualTo("TDCZ");
+        readIsServed(second);
         second.send(ask(WRITE, 900));
         assertThat(second.answer()).isEqualTo("TDCZ");
         Wire third = admitted();
         assertThat(first.answer()).isEqualTo(" closed");
-        third.send(ask(READ, 900));
-        assertThat(third.answer()).isEqualTo("TDCZ");
+        readIsServed(third);
         assertThat(replica.ends.take()).isEqualTo("closed by the router");
     }
 
