--- a/src/main/java/ironwind/Logic.java
+++ b/router/src/main/java/ironwind/Logic.java
@@ -612,7 +612,11 @@
                 rpc.group.members.forEach(this::probe);
             }
         }
-        hold(rpc);
+        if (rpc.roomless) {
+            step(rpc, Input.HOPELESS);
+        } else {
+            hold(rpc);
+        }
     }
 
     private void holdIfRepeatable(Rpc rpc) {
--- a/src/main/java/ironwind/cli/Main.java
+++ b/router/src/main/java/ironwind/boot/Main.java
@@ -1,8 +1,10 @@
-package ironwind.cli;
+package ironwind.boot;
 
 import ironwind.adapter.Adapter;
+import ironwind.hcl.HclFault;
 import ironwind.net.Log;
 import ironwind.net.Router;
+import ironwind.start.Installation;
 import ironwind.start.StartFacts;
 import ironwind.start.StartFault;
 import java.io.FileOutputStream;
@@ -43,13 +45,16 @@
     }
 
     /** Serves until the process is asked to end; returns only where it could not start. */
-    private static int serve(String file, PrintStream errors) {
+    private static int serve(String file, String hcl, PrintStream errors) {
         try {
             if (file == null) {
                 throw new StartFault("ROUTER_CONFIG names no file");
             }
+            StartFacts facts = StartFacts.read(Path.of(file));
+            Installation installation = hcl == null ? Installation.of(facts)
+                    : Installation.read(Path.of(hcl), facts.idleLimits());
             Log log = new Log(errors).withLibraries();
-            Router router = new Router(StartFacts.read(Path.of(file)), log);
+            Router router = new Router(facts, installation, log);
             Signal.handle(new Signal("HUP"), signal -> reload(router, file, log));
             router.start().await();
             Runtime.getRuntime().addShutdownHook(new Thread(() -> {
@@ -60,7 +65,7 @@
             Thread.currentThread().join();
             return 0;
         } catch (Exception e) {
-            errors.println("ironwind: " + (e instanceof StartFault ? e.getMessage() : e));
+            errors.println("ironwind: " + (e instanceof StartFault || e instanceof HclFault ? e.getMessage() : e));
             return START_ERROR;
         }
     }
@@ -80,7 +85,7 @@
             case "adapter":
                 return new Adapter(in, out).run(errors);
             case "serve":
-                return serve(System.getenv("ROUTER_CONFIG"), errors);
+                return serve(System.getenv("ROUTER_CONFIG"), System.getenv("IRONWIND_HCL"), errors);
             case "--help":
                 out.write(USAGE.getBytes(StandardCharsets.UTF_8));
                 return 0;
--- /dev/null
+++ b/router/src/main/java/ironwind/idle/Budget.java
@@ -0,0 +1,92 @@
+package ironwind.idle;
+
+import java.util.EnumMap;
+import java.util.Locale;
+import java.util.Map;
+
+/** Memory that is lent while data is there, in bytes, told apart by what it is lent for. */
+public final class Budget {
+    /** What memory is lent for. */
+    public enum Use {
+        /** Messages of clients of which a part has come. */
+        INCOMING,
+        /** Statements of RPCs that have no answer yet. */
+        OPEN,
+        /** Answers of hosts that have begun. */
+        MAKING,
+        /** Answers that clients' sockets have not taken. */
+        OWED;
+
+        public String label() {
+            return name().toLowerCase(Locale.ROOT);
+        }
+    }
+
+    /** Above this part of all, what is new is no longer taken, so that what has begun can end. */
+    private static final double NEW_PART = 0.75;
+
+    private final long all;
+    private final Map<Use, long[]> lent = new EnumMap<>(Use.class);
+    private final Map<Use, long[]> refused = new EnumMap<>(Use.class);
+    private long sum;
+    private long highest;
+
+    public Budget(long bytes) {
+        this.all = bytes;
+        for (Use use : Use.values()) {
+            lent.put(use, new long[1]);
+            refused.put(use, new long[1]);
+        }
+    }
+
+    /** Lends, where so much is left. */
+    public boolean lend(Use use, long bytes) {
+        if (bytes > 0 && sum + bytes > all) {
+            refused.get(use)[0]++;
+            return false;
+        }
+        force(use, bytes);
+        return true;
+    }
+
+    /** Lends what cannot be refused, such as an answer that is owed; a negative number gives back. */
+    public void force(Use use, long bytes) {
+        long[] of = lent.get(use);
+        if (of[0] + bytes < 0) {
+            throw new IllegalStateException("more is given back than was lent for " + use);
+        }
+        of[0] += bytes;
+        sum += bytes;
+        highest = Math.max(highest, sum);
+    }
+
+    /** Gives back. */
+    public void back(Use use, long bytes) {
+        force(use, -bytes);
+    }
+
+    /** Whether so much may be lent for something that has not begun. */
+    public boolean hasRoomForNew(long bytes) {
+        return sum + bytes <= NEW_PART * all;
+    }
+
+    public long lent(Use use) {
+        return lent.get(use)[0];
+    }
+
+    public long refused(Use use) {
+        return refused.get(use)[0];
+    }
+
+    public long sum() {
+        return sum;
+    }
+
+    public long highest() {
+        return highest;
+    }
+
+    public long all() {
+        return all;
+    }
+}
--- a/src/main/java/ironwind/model/Rpc.java
+++ b/router/src/main/java/ironwind/model/Rpc.java
@@ -15,6 +15,8 @@
     /** The position a session read must see; {@link Moment#NEVER} for none. */
     public final Moment token;
     public final boolean repeat;
+    /** It came when there was no memory or time left to hold it: only its answer is owed. */
+    public boolean roomless;
 
     public Stage stage = Stage.HELD;
     public boolean overShare;
--- /dev/null
+++ b/router/src/main/java/ironwind/net/ClientConnection.java
@@ -0,0 +1,323 @@
+package ironwind.net;
+
+import ironwind.idle.Peer;
+import ironwind.idle.Reason;
+import ironwind.idle.Standing;
+import ironwind.model.Span;
+import ironwind.pg.ClientMessage;
+import ironwind.pg.Encoder;
+import ironwind.pg.Failure;
+import ironwind.pg.Frame;
+import ironwind.pg.Frames;
+import ironwind.pg.Pg;
+import ironwind.pg.PgFault;
+import ironwind.pg.Statement;
+import java.nio.channels.SocketChannel;
+import java.util.function.Function;
+
+/**
+ * One client's connection: its commands are taken as they come and answered in their order. While it says nothing it
+ * holds no buffer, no list and no timer.
+ */
+final class ClientConnection extends Peer implements ClientSocket.Owner {
+    /** Commands of a client that are read ahead of the answer to the first: each may hold a value in memory. */
+    private static final int MOST_AHEAD = 16;
+
+    private final ClientSocket socket;
+    private final Clients clients;
+    /** What has come of a message that is not whole; null where none has begun. */
+    private Frames frames;
+    /** Bytes lent for it. */
+    private int lent;
+    private Exchange first;
+    private Exchange last;
+    private int ahead;
+    private boolean started;
+    private boolean served;
+    private boolean skipping;
+    private boolean proceeding;
+    /** How the connection is to end once all that it brought is answered; null while more may come. */
+    private Ending closing;
+    private boolean parting;
+    private boolean closed;
+
+    ClientConnection(SocketChannel channel, Clients clients) {
+        this.clients = clients;
+        this.socket = new ClientSocket(channel, clients.buffers, this);
+    }
+
+    /** Begins to listen to its client. */
+    void begin() {
+        socket.register(clients.loop);
+        settle();
+    }
+
+    // ---- what comes
+
+    @Override
+    public void readable() {
+        if (!closed && clients.mayRead(this)) {
+            read();
+        } else {
+            settle();
+        }
+    }
+
+    /** Its turn to be read has come. */
+    void turn() {
+        if (!closed) {
+            read();
+        }
+    }
+
+    private void read() {
+        byte[] bytes = socket.read();
+        if (bytes == null) {
+            closed(Ending.CLIENT_LEFT);
+        } else {
+            received(bytes);
+        }
+    }
+
+    private void received(byte[] bytes) {
+        if (bytes.length > 0 && closing != Ending.CLIENT_MALFORMED) {
+            if (frames == null) {
+                frames = new Frames(!started, ClientMessage.TYPES, Pg.LARGEST_MESSAGE);
+            }
+            frames.add(bytes);
+            proceed();
+        } else {
+            settle();
+        }
+        clients.heard(this);
+    }
+
+    /** Takes what has come, but no more while the client is far ahead of its answers or does not read them. */
+    private void proceed() {
+        if (proceeding) {
+            return;
+        }
+        proceeding = true;
+        boolean took = false;
+        try {
+            Frame frame = next();
+            while (frame != null) {
+                took = true;
+                take(ClientMessage.decode(frame));
+                frame = next();
+            }
+            keep();
+        } catch (PgFault fault) {
+            fail(fault);
+        } finally {
+            proceeding = false;
+        }
+        settle(took);
+    }
+
+    private Frame next() {
+        return frames == null || closed || closing == Ending.CLIENT_MALFORMED || hasEnough() ? null : frames.next();
+    }
+
+    private boolean hasEnough() {
+        return ahead >= MOST_AHEAD || clients.isOwedMuch(this);
+    }
+
+    /** What is left of the bytes that came is lent; where nothing is, nothing is held. */
+    private void keep() {
+        int size = frames == null ? 0 : frames.held();
+        if (size == 0) {
+            frames = null;
+        }
+        if (size != lent) {
+            // Where whole commands wait behind unanswered ones they were taken, and are not to be lost.
+            if (!clients.lend(size - lent, hasEnough())) {
+                throw new PgFault(Reason.NO_MEMORY.code, Reason.NO_MEMORY.words);
+            }
+            lent = size;
+        }
+    }
+
+    private void take(ClientMessage message) {
+        if (message instanceof ClientMessage.Query query) {
+            command(query.sql());
+        } else if (message instanceof ClientMessage.Startup) {
+            started = true;
+            frames.started();
+            write(Encoder.welcome());
+        } else if (message instanceof ClientMessage.Encryption) {
+            write(Encoder.noEncryption());
+        } else if (message instanceof ClientMessage.Extended) {
+            if (!skipping) {
+                skipping = true;
+                refuse(new PgFault(PgFault.UNSUPPORTED, "only simple queries are spoken here"), Encoder::error);
+            }
+        } else if (message instanceof ClientMessage.Sync) {
+            skipping = false;
+            add(null, 0).answer(Encoder.ready());
+        } else {
+            closed(Ending.CLIENT_LEFT);
+        }
+    }
+
+    private void command(String sql) {
+        try {
+            clients.command(this, sql);
+        } catch (PgFault fault) {
+            refuse(fault, Encoder::failure);
+        }
+    }
+
+    // ---- what goes
+
+    /** The error that is owed in place of an answer, in one of the encoder's forms. */
+    private void refuse(PgFault fault, Function<Failure, byte[]> form) {
+        clients.malformed(fault);
+        add(null, 0).answer(form.apply(new Failure(fault.code, fault.getMessage(), null)));
+    }
+
+    /** The connection ends in an error, after the answers that are owed before it. */
+    void fail(PgFault fault) {
+        if (closed || closing == Ending.CLIENT_MALFORMED) {
+            return;
+        }
+        closing = Ending.CLIENT_MALFORMED;
+        drop();
+        refuse(fault, Encoder::fatal);
+        settle();
+    }
+
+    /** The same for a reason of ours; {@code comeBack} tells when another try makes sense. */
+    void turnAway(Reason reason, Span comeBack) {
+        if (!closed && closing != Ending.CLIENT_MALFORMED) {
+            closing = Ending.CLIENT_MALFORMED;
+            drop();
+            String wait = comeBack.us() > 0 ? Long.toString(Timers.millis(comeBack)) : null;
+            add(null, 0).answer(Encoder.fatal(new Failure(reason.code, reason.words, wait)));
+            settle();
+        }
+    }
+
+    private void drop() {
+        frames = null;
+        clients.lend(-lent, true);
+        lent = 0;
+    }
+
+    Exchange add(Statement statement, int bytes) {
+        Exchange exchange = new Exchange(statement, this::flush);
+        exchange.lent = bytes;
+        if (last == null) {
+            first = exchange;
+        } else {
+            last.next = exchange;
+        }
+        last = exchange;
+        ahead++;
+        return exchange;
+    }
+
+    /** Passes on what is answered, in the order of the commands. */
+    private void flush() {
+        while (first != null && first.isAnswered()) {
+            Exchange answered = first;
+            first = answered.next;
+            last = first == null ? null : last;
+            ahead--;
+            served |= answered.rpc != null;
+            write(answered.takeAnswer());
+            clients.answered(this, answered);
+        }
+        proceed();
+    }
+
+    private void write(byte[]... parts) {
+        if (!closed) {
+            int over = socket.write(parts);
+            if (over > 0 && !closed) {
+                clients.owes(this, over);
+            }
+        }
+    }
+
+    @Override
+    public void taken(int bytes) {
+        if (!closed) {
+            clients.took(this, bytes);
+            proceed();
+        }
+    }
+
+    @Override
+    public void broken() {
+        // Not at once: whoever writes is in the midst of something.
+        clients.soon(() -> closed(Ending.CLIENT_LEFT));
+    }
+
+    // ---- how it stands, and its end
+
+    private void settle() {
+        settle(false);
+    }
+
+    /** Says how it stands now; {@code anew}: it has come to stand so since it last said. */
+    private void settle(boolean anew) {
+        if (closed || proceeding) {
+            return;
+        }
+        if (closing == null && clients.isDismissing()) {
+            closing = Ending.CLIENT_DISMISSED;
+        }
+        if (first == null && closing == Ending.CLIENT_MALFORMED) {
+            parting = true;
+        } else if (first == null && (frames == null || !started) && closing == Ending.CLIENT_DISMISSED) {
+            closed(closing);
+            return;
+        }
+        Standing now = parting ? Standing.PARTING : first != null ? Standing.BUSY : !started ? Standing.STRANGER
+                : frames != null ? Standing.HALFWAY : served ? Standing.SERVED : Standing.GREETED;
+        if (anew || now != standing()) {
+            clients.stands(this, now);
+        }
+        socket.listen(!parting && !hasEnough() && !clients.waits(this));
+    }
+
+    /** Closes the connection between two requests, now or once what it has brought is answered. */
+    void dismiss() {
+        closing = closing == null ? Ending.CLIENT_DISMISSED : closing;
+        settle();
+    }
+
+    /**
+     * Ends a connection that is to give way, but not one that has just spoken: what its client has written is read
+     * first, and an RPC that was taken is not lost. Tells whether it ended.
+     */
+    boolean giveWay() {
+        if (!closed && !parting) {
+            byte[] bytes = socket.read();
+            if (bytes != null && bytes.length > 0) {
+                received(bytes);
+                return closed;
+            }
+        }
+        closed(closing == null ? Ending.CLIENT_DISMISSED : closing);
+        return true;
+    }
+
+    /** Ends at once, whatever is under way: a half-written answer stays incomplete. */
+    void cut() {
+        closed(Ending.CLIENT_DISMISSED);
+    }
+
+    private void closed(Ending ending) {
+        if (!closed) {
+            closed = true;
+            socket.close();
+            drop();
+            Exchange open = first;
+            first = null;
+            last = null;
+            clients.ended(this, ending, open);
+        }
+    }
+}
--- /dev/null
+++ b/router/src/main/java/ironwind/net/Clients.java
@@ -0,0 +1,441 @@
+package ironwind.net;
+
+import io.netty.channel.IoEventLoop;
+import ironwind.idle.Budget;
+import ironwind.idle.Budget.Use;
+import ironwind.idle.Debtors;
+import ironwind.idle.Keeper;
+import ironwind.idle.Limits;
+import ironwind.idle.Peer;
+import ironwind.idle.Reason;
+import ironwind.idle.Standing;
+import ironwind.idle.SteadyTime;
+import ironwind.idle.Turns;
+import ironwind.model.Customer;
+import ironwind.model.Effect;
+import ironwind.model.Method;
+import ironwind.model.Span;
+import ironwind.net.Counters.Count;
+import ironwind.pg.Encoder;
+import ironwind.pg.PgFault;
+import ironwind.pg.Statement;
+import ironwind.start.Address;
+import ironwind.start.Names;
+import ironwind.start.StartFacts;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.net.StandardSocketOptions;
+import java.nio.channels.SocketChannel;
+import java.util.ArrayList;
+import java.util.List;
+import jdk.net.ExtendedSocketOptions;
+
+/**
+ * All connections of clients: what comes in on them becomes RPCs. Who is let in, kept and read is decided in
+ * {@code ironwind.idle}; this carries it out.
+ */
+final class Clients implements Door.Host {
+    /** In milliseconds, as far as times can be reckoned with. */
+    private static final long LONGEST_MS = Long.MAX_VALUE / 1_000_000;
+    /** Times that are out are looked for so often, with one timer for all. */
+    private static final Span LOOK_EVERY = Span.ofMillis(100);
+    /** A step of the steady time is no longer: what took longer was a pause of the process. */
+    private static final Span LONGEST_STEP = Span.ofMillis(500);
+    /** Ended one after another before others are served again. */
+    private static final int ENDED_AT_ONCE = 256;
+    /** Those that spoke in the very moment in which they were to give way. */
+    private static final int MOST_WOKEN = 8;
+    private static final int KEEPALIVE_PROBES = 3;
+    /** The settings tell how long clients wait; what is this many times as long is no such time. */
+    private static final double MOST_DEADLINES = 4;
+    /** What an open RPC takes beside its statement, which is held as text and as facts. */
+    private static final int OPEN_RPC_BYTES = 1_024;
+
+    final IoEventLoop loop;
+    final ClientSocket.Buffers buffers = new ClientSocket.Buffers();
+    private final Timers timers;
+    private final StartFacts facts;
+    /** Let in at one time, the parting among them: what descriptors allow. */
+    private final int most;
+    private final LogicTask logic;
+    private final Counters counters;
+    private final Log log;
+    private final Limits limits;
+    private final Keeper keeper;
+    private final Budget budget;
+    private final Debtors debtors;
+    private final Turns turns;
+    private final SteadyTime steady = new SteadyTime(LONGEST_STEP);
+    private final Show show;
+    /** Empty queries that wait until the router is ready. */
+    private final List<Exchange> askedWhetherReady = new ArrayList<>();
+    private Door door;
+    private Rehearsal rehearsal;
+    private boolean turnDue;
+    private boolean ready;
+    private boolean dismissing;
+    private Runnable whenGone = () -> { };
+
+    Clients(IoEventLoop loop, Timers timers, StartFacts facts, Limits limits, Budget budget, int most,
+            LogicTask logic, Counters counters, Log log) {
+        this.loop = loop;
+        this.timers = timers;
+        this.facts = facts;
+        this.limits = limits;
+        this.most = most;
+        this.logic = logic;
+        this.counters = counters;
+        this.log = log;
+        this.keeper = new Keeper(limits);
+        this.budget = budget;
+        this.debtors = new Debtors(limits, budget);
+        this.turns = new Turns(limits, budget);
+        this.show = new Show(counters, keeper, budget, debtors, turns, steady, logic);
+    }
+
+    void listen() throws IOException {
+        door = Door.open(loop, facts.listen(), this, timers,
+                none -> log.warn("no_descriptor", "open", keeper.inside(), "cause", none.getMessage()));
+        timers.every(LOOK_EVERY, this::look);
+    }
+
+    int port() {
+        return door.port();
+    }
+
+    /** Until the router is ready, and a little longer for what is on its way, it is its rehearsal's host, too. */
+    void rehearse(Rehearsal rehearsed) {
+        rehearsal = rehearsed;
+        rehearsed.start(new Address(facts.listen().ip(), port()));
+    }
+
+    /** From now on empty queries are answered: the front may send clients. */
+    void ready() {
+        ready = true;
+        timers.after(limits.startupTime(), () -> rehearsal = null);
+        askedWhetherReady.forEach(exchange -> exchange.answer(Encoder.emptyQuery()));
+        askedWhetherReady.clear();
+    }
+
+    /** Microseconds of the steady time. */
+    private long now() {
+        return steady.at(System.nanoTime() / 1_000);
+    }
+
+    // ---- the door
+
+    @Override
+    public Span shutFor() {
+        if (keeper.inside() >= most) {
+            return null;
+        }
+        long now = now();
+        return keeper.opens(now) ? Span.ZERO : keeper.opensIn(now);
+    }
+
+    @Override
+    public void connected(SocketChannel channel) {
+        counters.add(Count.CLIENTS);
+        Object address;
+        try {
+            channel.configureBlocking(false);
+            channel.setOption(StandardSocketOptions.TCP_NODELAY, true);
+            if (limits.keepalive().us() > 0) {
+                keepAlive(channel);
+            }
+            address = ((InetSocketAddress) channel.getRemoteAddress()).getAddress();
+        } catch (IOException goneAgain) {
+            counters.add(Ending.CLIENT_LEFT);
+            new ClientSocket(channel, buffers, null).close();
+            return;
+        }
+        makeRoom();
+        Reason refusal = keeper.refusal(address);
+        ClientConnection client = new ClientConnection(channel, this);
+        keeper.enter(client, address, now());
+        client.begin();
+        if (refusal != null) {
+            log.warn("client_refused", "reason", refusal, "address", address, "open", keeper.inside());
+            client.turnAway(refusal, facts.deployment().longestBackoff());
+        } else if (dismissing) {
+            client.dismiss();
+        }
+    }
+
+    private void keepAlive(SocketChannel channel) throws IOException {
+        int seconds = (int) Math.max(1, limits.keepalive().us() / 1_000_000);
+        channel.setOption(StandardSocketOptions.SO_KEEPALIVE, true);
+        channel.setOption(ExtendedSocketOptions.TCP_KEEPIDLE, seconds);
+        channel.setOption(ExtendedSocketOptions.TCP_KEEPINTERVAL, Math.max(1, seconds / KEEPALIVE_PROBES));
+        channel.setOption(ExtendedSocketOptions.TCP_KEEPCOUNT, KEEPALIVE_PROBES);
+    }
+
+    private void makeRoom() {
+        for (int i = 0; i < MOST_WOKEN; i++) {
+            Peer least = keeper.toGiveWay();
+            if (least == null || giveWay(least, Reason.GAVE_WAY)) {
+                return;
+            }
+        }
+    }
+
+    /** Ends one that carries nothing, unless its client has just spoken. */
+    private boolean giveWay(Peer peer, Reason reason) {
+        boolean ended = ((ClientConnection) peer).giveWay();
+        if (ended) {
+            keeper.count(reason);
+        }
+        return ended;
+    }
+
+    // ---- whose time is out
+
+    private void look() {
+        long now = now();
+        for (int i = 0; i < ENDED_AT_ONCE; i++) {
+            Peer due = keeper.due(now);
+            if (due == null) {
+                break;
+            }
+            ClientConnection client = (ClientConnection) due;
+            Reason why = keeper.whyDue(due);
+            if (due.standing() == Standing.PARTING) {
+                client.cut();
+            } else if (why == Reason.TOO_SLOW) {
+                keeper.count(why);
+                client.fail(new PgFault(why.code, why.words));
+            } else {
+                giveWay(due, why);
+            }
+        }
+        endDebtors(now);
+        logic.memoryFreed();
+        if (door != null) {
+            door.look();
+        }
+        if (turns.anyWaits()) {
+            callTurn();
+        }
+    }
+
+    private void endDebtors(long now) {
+        for (Peer due = debtors.due(now); due != null; due = debtors.due(now)) {
+            Reason why = debtors.whyDue();
+            keeper.count(why);
+            log.warn("client_owed", "reason", why, "bytes", due.owed(), "all", budget.lent(Use.OWED));
+            ((ClientConnection) due).cut();
+        }
+    }
+
+    // ---- turns to be read
+
+    boolean mayRead(ClientConnection client) {
+        boolean now = turns.atOnce(client, now(), logic.open());
+        if (!now) {
+            callTurn();
+        }
+        return now;
+    }
+
+    boolean waits(ClientConnection client) {
+        return turns.waits(client);
+    }
+
+    private void callTurn() {
+        if (!turnDue) {
+            turnDue = true;
+            loop.execute(this::turn);
+        }
+    }
+
+    /** The crowd's turn, after which all that is active is looked at before the next. */
+    private void turn() {
+        turnDue = false;
+        turns.begin(now());
+        Peer next = turns.next(now(), logic.open());
+        while (next != null) {
+            ((ClientConnection) next).turn();
+            next = turns.next(now(), logic.open());
+        }
+        if (turns.anyWaits() && turns.hasTurn(now(), logic.open())) {
+            callTurn();
+        }
+    }
+
+    void heard(ClientConnection client) {
+        turns.heard(client);
+    }
+
+    // ---- memory
+
+    boolean lend(int bytes, boolean always) {
+        if (always || bytes <= 0) {
+            budget.force(Use.INCOMING, bytes);
+            return true;
+        }
+        boolean lent = budget.lend(Use.INCOMING, bytes);
+        if (!lent) {
+            keeper.count(Reason.NO_MEMORY);
+        }
+        return lent;
+    }
+
+    void owes(ClientConnection client, int bytes) {
+        long now = now();
+        debtors.owe(client, bytes, now);
+        if (budget.lent(Use.OWED) > limits.owedAll()) {
+            soon(() -> endDebtors(now()));
+        }
+    }
+
+    void took(ClientConnection client, int bytes) {
+        debtors.took(client, bytes, now());
+    }
+
+    boolean isOwedMuch(ClientConnection client) {
+        return debtors.ahead(client);
+    }
+
+    // ---- how they stand
+
+    void stands(ClientConnection client, Standing standing) {
+        keeper.stands(client, standing, now());
+    }
+
+    /** An answer has gone out. */
+    void answered(ClientConnection client, Exchange exchange) {
+        if (turns.anyWaits()) {
+            callTurn();
+        }
+        budget.back(Use.OPEN, exchange.lent);
+        exchange.lent = 0;
+        if (exchange.rpc != null) {
+            Peer over = keeper.served(client, exchange.rpc.customer, now());
+            if (over != null && over != client) {
+                soon(() -> giveWay(over, Reason.CUSTOMER_FULL));
+            }
+        }
+    }
+
+    void soon(Runnable action) {
+        loop.execute(action);
+    }
+
+    void malformed(PgFault fault) {
+        counters.add(Count.MALFORMED);
+        log.warn("client_malformed", "code", fault.code, "what", fault.getMessage());
+    }
+
+    void ended(ClientConnection client, Ending ending, Exchange unanswered) {
+        counters.add(ending);
+        debtors.forget(client);
+        keeper.leave(client);
+        for (Exchange exchange = unanswered; exchange != null; exchange = exchange.next) {
+            budget.back(Use.OPEN, exchange.lent);
+            exchange.lent = 0;
+            logic.left(exchange);
+        }
+        if (door != null) {
+            door.look();
+        }
+        if (dismissing && keeper.inside() == 0) {
+            whenGone.run();
+        }
+    }
+
+    // ---- commands
+
+    /** Takes one command; a {@link PgFault} tells what is wrong with it. */
+    void command(ClientConnection client, String sql) {
+        Statement statement = Statement.parse(sql);
+        if (!statement.facts().isEmpty()) {
+            rpc(client, statement);
+        } else if (statement.text().isEmpty()) {
+            Exchange exchange = client.add(null, 0);
+            if (ready) {
+                exchange.answer(Encoder.emptyQuery());
+            } else {
+                askedWhetherReady.add(exchange);
+            }
+        } else {
+            byte[] table = show.answerTo(statement.text());
+            if (table == null) {
+                throw new PgFault(PgFault.UNSUPPORTED, "a statement must say what it is in a comment before it");
+            }
+            client.add(null, 0).answer(table);
+        }
+    }
+
+    private void rpc(ClientConnection client, Statement statement) {
+        byte[] rehearsed = rehearsal == null ? null : rehearsal.answerTo(statement);
+        if (rehearsed != null) {
+            client.add(statement, 0).answer(rehearsed);
+            return;
+        }
+        Names names = facts.names();
+        Method method = known(names.methods().get(statement.need("c")), "c");
+        Customer customer = names.customers().isEmpty() ? null
+                : known(names.customers().get(statement.need("t")), "t");
+        Span waits = Span.ofMillis(statement.needWhole("d", 1, LONGEST_MS));
+        if (waits.longerThan(method.deadline().times(MOST_DEADLINES))) {
+            throw new PgFault(PgFault.SYNTAX, "the comment's d is far beyond its method's deadline: " + waits.us());
+        }
+        if (method.effect() == Effect.TOKENED) {
+            statement.need("k");
+        }
+        long after = statement.facts().containsKey("after") ? statement.needWhole("after", 0, LONGEST_MS) : 0;
+        int bytes = OPEN_RPC_BYTES + 2 * statement.text().length();
+        Span waited = turns.waited(client, now());
+        LogicTask.Asked asked = new LogicTask.Asked(statement.need("id"), method, customer,
+                (int) statement.needWhole("cluster", 0, Integer.MAX_VALUE), statement.key(), waits, after,
+                "1".equals(statement.facts().get("r")), waited, turns.pushesBack(waited, bytes));
+        logic.check(asked);
+        budget.force(Use.OPEN, bytes);
+        logic.arrived(client.add(statement, bytes), asked);
+    }
+
+    private static <T> T known(T value, String fact) {
+        if (value == null) {
+            throw new PgFault(PgFault.SYNTAX, "the comment's " + fact + " names nothing known");
+        }
+        return value;
+    }
+
+    // ---- the end
+
+    /** Asks all clients away between their requests; runs the action once none is left. */
+    void dismissAll(Runnable gone) {
+        dismissing = true;
+        whenGone = gone;
+        dismissSome();
+        if (keeper.inside() == 0) {
+            whenGone.run();
+        }
+    }
+
+    /** Some at a time, so that those who still ask are served meanwhile; the busy end with their last answer. */
+    private void dismissSome() {
+        Peer next = keeper.next();
+        for (int i = 0; i < ENDED_AT_ONCE && next != null && keeper.inside() > 0; i++) {
+            if (next.standing() == Standing.PARTING) {
+                ((ClientConnection) next).cut();
+            } else {
+                ((ClientConnection) next).dismiss();
+            }
+            next = keeper.next();
+        }
+        if (next != null) {
+            soon(this::dismissSome);
+        }
+    }
+
+    boolean isDismissing() {
+        return dismissing;
+    }
+
+    void stop() {
+        if (door != null) {
+            door.close();
+        }
+    }
+}
--- a/src/main/java/ironwind/net/Exchange.java
+++ b/router/src/main/java/ironwind/net/Exchange.java
@@ -11,6 +11,10 @@
     Rpc rpc;
     /** Runs out where an answer is owed and does not come. */
     Timers.Timer guard;
+    /** The command that came after it on its connection. */
+    Exchange next;
+    /** Bytes lent for it until it is answered. */
+    int lent;
     private boolean answered;
     private byte[][] answer;
 
--- a/src/main/java/ironwind/net/HostConnection.java
+++ b/router/src/main/java/ironwind/net/HostConnection.java
@@ -23,6 +23,11 @@
     private boolean closed;
     /** Whether the rest of a message is being waited for. */
     private boolean limited;
+    /** Bytes lent for what has come of an answer, and for the rest of its message. */
+    private int lent;
+    private int needs;
+    /** Of these, for the message that is not whole. */
+    private int pendingLent;
     private Use use;
     private HostWord word = new HostWord();
     private Future<Void> written;
@@ -101,6 +106,7 @@
         try {
             frames.add(buffer.getBytes());
             for (Frame frame = frames.next(); frame != null && !closed; frame = frames.next()) {
+                pendingLent = 0;
                 HostMessage message = HostMessage.decode(frame);
                 if (message instanceof HostMessage.Ready) {
                     ready();
@@ -108,6 +114,7 @@
                     word.hear(message);
                 }
             }
+            reserve();
             if (!closed && frames.midway() && !limited) {
                 limited = true;
                 pool.later(() -> {
@@ -120,6 +127,45 @@
         }
     }
 
+    /** Memory for a message is had before it is read on; what came whole in one piece is passed on or dropped. */
+    private void reserve() {
+        int more = closed || !frames.midway() ? 0 : frames.wants() - pendingLent;
+        if (more > 0 && needs == 0) {
+            needs = more;
+            if (pool.lend(this, more)) {
+                lent();
+            } else {
+                socket.pause();
+            }
+        }
+    }
+
+    int needs() {
+        return needs;
+    }
+
+    private void lent() {
+        lent += needs;
+        pendingLent += needs;
+        needs = 0;
+    }
+
+    /** The memory that it waited for is lent. */
+    void readOn() {
+        lent();
+        socket.resume();
+    }
+
+    private void giveBack() {
+        if (lent > 0 || needs > 0) {
+            int back = lent;
+            lent = 0;
+            pendingLent = 0;
+            needs = 0;
+            pool.giveBack(this, back);
+        }
+    }
+
     private void spoilt(PgFault fault) {
         pool.garbled(this, fault);
         end(wasWritten() ? Ending.GARBLED : Ending.BROKE_UNWRITTEN);
@@ -149,6 +195,7 @@
             use = null;
             written = null;
             word = new HostWord();
+            giveBack();
             if (frames.midway() || !said.isWhole()) {
                 close();
             } else {
@@ -194,6 +241,7 @@
     void close() {
         if (!closed) {
             closed = true;
+            giveBack();
             pool.forget(this);
             if (socket != null) {
                 release();
--- a/src/main/java/ironwind/net/HostConnections.java
+++ b/router/src/main/java/ironwind/net/HostConnections.java
@@ -4,6 +4,8 @@
 import io.vertx.core.net.NetClient;
 import io.vertx.core.net.NetClientOptions;
 import io.vertx.core.net.SocketAddress;
+import ironwind.idle.Budget;
+import ironwind.idle.Budget.Use;
 import ironwind.model.Moment;
 import ironwind.model.Span;
 import ironwind.net.Counters.Count;
@@ -49,10 +51,15 @@
     /** Sockets that are coming up, whether still wanted or not, or open: what descriptors are counted by. */
     private int sockets;
 
-    HostConnections(Vertx vertx, StartFacts facts, int most, Counters counters, Log log) {
+    /** Those that read no further until there is memory for the rest of their answer, in the order of waiting. */
+    private final Deque<HostConnection> needMemory = new ArrayDeque<>();
+    private final Budget budget;
+
+    HostConnections(Vertx vertx, StartFacts facts, Budget budget, int most, Counters counters, Log log) {
         this.timers = new Timers(vertx);
         this.connectTime = facts.connectTime();
         this.idleTime = facts.hostIdleTime().times(IDLE_PART);
+        this.budget = budget;
         this.most = most;
         this.longestMessage = (int) (MESSAGE_PART * facts.memoryMb() * MEGABYTE);
         this.counters = counters;
@@ -150,6 +157,29 @@
         sockets--;
     }
 
+    /** Memory for an answer that has begun; where there is none, the connection is told once there is. */
+    boolean lend(HostConnection connection, int bytes) {
+        boolean lent = needMemory.isEmpty() && budget.lend(Use.MAKING, bytes);
+        if (!lent) {
+            needMemory.add(connection);
+            log.warn("answer_waits_for_memory", "host", connection.hostId, "bytes", bytes, "lent", budget.sum());
+        }
+        return lent;
+    }
+
+    void giveBack(HostConnection connection, int bytes) {
+        budget.back(Use.MAKING, bytes);
+        needMemory.remove(connection);
+        memoryFreed();
+    }
+
+    /** Those that wait for memory go on, as far as there is some. */
+    void memoryFreed() {
+        while (!needMemory.isEmpty() && budget.lend(Use.MAKING, needMemory.peek().needs())) {
+            needMemory.poll().readOn();
+        }
+    }
+
     void ended(Ending ending) {
         counters.add(ending);
     }
--- a/src/main/java/ironwind/net/LogicTask.java
+++ b/router/src/main/java/ironwind/net/LogicTask.java
@@ -62,9 +62,14 @@
         lastAnswer = Clock.read().plus(fromNow);
     }
 
-    /** What an RPC's comment says, read. */
+    /**
+     * What an RPC's comment says, read.
+     *
+     * @param waited how long it had lain in its socket before it was read
+     * @param roomless there is no memory or time left to hold it
+     */
     record Asked(String id, Method method, Customer customer, int group, String session, Span waits, long after,
-            boolean repeat) {
+            boolean repeat, Span waited, boolean roomless) {
     }
 
     /** What happened, and the exchange it concerns, if one. */
@@ -115,6 +120,16 @@
         }
     }
 
+    /** RPCs that have no final answer yet. */
+    int open() {
+        return openIds.size();
+    }
+
+    /** Memory may be free for answers of hosts that wait for it. */
+    void memoryFreed() {
+        hosts.memoryFreed();
+    }
+
     // ---- what comes in
 
     void listed(boolean complete, List<RosterEntry> entries, Runnable before) {
@@ -140,8 +155,9 @@
         openIds.put(asked.id, exchange);
         put(exchange, time -> {
             Rpc rpc = new Rpc(asked.id, asked.method, asked.customer, logic.group(asked.group), asked.session, time,
-                    time.plus(asked.waits).earlier(lastAnswer),
+                    time.plus(asked.waits).minus(asked.waited).earlier(lastAnswer),
                     asked.after <= 0 ? Moment.NEVER : Moment.ofMillis(asked.after), asked.repeat);
+            rpc.roomless = asked.roomless;
             exchange.rpc = rpc;
             exchanges.put(rpc, exchange);
             Span longest = rpc.deadline.plus(answerSlack).since(time);
--- a/src/main/java/ironwind/net/Rehearsal.java
+++ b/router/src/main/java/ironwind/net/Rehearsal.java
@@ -2,6 +2,7 @@
 
 import io.vertx.core.Context;
 import io.vertx.core.Vertx;
+import ironwind.idle.Budget;
 import ironwind.model.Customer;
 import ironwind.model.Host.Listing;
 import ironwind.model.Inbound;
@@ -37,6 +38,8 @@
     /** However slow the machine is, clients are not kept waiting for longer. */
     private static final Span LONGEST = Span.ofMillis(4_000);
     private static final int MOST_SOCKETS = 16;
+    /** No limit is to bind here. */
+    private static final long REHEARSAL_BYTES = 1 << 24;
     /** Hosts by id; the first is the primary. So many that none is taken for silent while all is still slow. */
     private static final List<String> HOSTS = List.of("a", "b", "c", "d", "e", "f");
 
@@ -59,7 +62,8 @@
         this.done = done;
         Counters counters = new Counters();
         Log log = new Log(new PrintStream(OutputStream.nullOutputStream()));
-        this.hosts = new HostConnections(vertx, this.facts, Math.min(MOST_SOCKETS, most), counters, log);
+        this.hosts = new HostConnections(vertx, this.facts, new Budget(REHEARSAL_BYTES),
+                Math.min(MOST_SOCKETS, most), counters, log);
         Timers timers = new Timers(vertx);
         this.task = new LogicTask(context, timers, this.facts, module, hosts, counters, log);
         timers.after(LONGEST, this::end);
@@ -92,7 +96,8 @@
         Statement statement = Statement.parse("/* id=" + id + ",c=" + method.index() + ",d=" + waits
                 + ",k=" + id + ",cluster=0 */ SELECT val FROM state WHERE uid = '" + id + "'");
         task.arrived(new Exchange(statement, () -> context.runOnContext(nothing -> next())),
-                new LogicTask.Asked(id, method, customer, 0, statement.key(), Span.ofMillis(waits), 0, false));
+                new LogicTask.Asked(id, method, customer, 0, statement.key(), Span.ofMillis(waits), 0, false, Span.ZERO,
+                        false));
     }
 
     /** What a host would answer to a request of the rehearsal; null to any other. */
--- a/src/main/java/ironwind/net/Router.java
+++ b/router/src/main/java/ironwind/net/Router.java
@@ -1,16 +1,22 @@
 package ironwind.net;
 
+import io.netty.channel.IoEventLoop;
 import io.vertx.core.Context;
 import io.vertx.core.Future;
 import io.vertx.core.Promise;
 import io.vertx.core.Vertx;
 import io.vertx.core.VertxOptions;
 import io.vertx.core.file.FileSystemOptions;
+import io.vertx.core.internal.ContextInternal;
 import ironwind.Logic;
+import ironwind.idle.Budget;
+import ironwind.idle.Limits;
 import ironwind.model.Inbound;
 import ironwind.model.Outbound;
 import ironwind.model.Span;
+import ironwind.start.Installation;
 import ironwind.start.StartFacts;
+import java.io.IOException;
 import java.util.function.Function;
 
 /** One real router, for use in a program of one's own: start it, ask its clients away, stop it. */
@@ -24,20 +30,11 @@
     private static final double SERVING_PART = 0.5;
     /** How long the first list is waited for before the router says it is ready with what it knew. */
     private static final long FIRST_LIST_MS = 2_000;
-    /** Descriptors for all that is no connection of a client or a host: files, selectors, discovery. */
-    private static final int OTHER_DESCRIPTORS = 32;
-    /** Of the others, the part that connections to hosts may take. */
-    private static final double HOSTS_PART = 0.4;
-
-    /** Of the clients' part, what the door lets in beyond it, so that one that comes can take another's place. */
-    private static final double SPARE_PART = 0.1;
-
     private final StartFacts facts;
     private final Log log;
     private final Function<Outbound, Inbound> module;
     private final Counters counters = new Counters();
-    private final int mostOfClients;
-    private final int mostToHosts;
+    private final Limits limits;
     private final Vertx vertx;
     private final Context context;
     private boolean rehearses = true;
@@ -47,22 +44,27 @@
     private LogicTask logic;
 
     public Router(StartFacts facts, Log log) {
-        this(facts, log, outbound -> new Logic(facts.deployment(), facts.seed(), outbound));
+        this(facts, Installation.of(facts), log);
+    }
+
+    /** With what the installation's own file says. */
+    public Router(StartFacts facts, Installation installation, Log log) {
+        this(facts, installation, log, outbound -> new Logic(facts.deployment(), facts.seed(), outbound));
     }
 
-    /** With another module in the place of {@link Logic}. */
     Router(StartFacts facts, Log log, Function<Outbound, Inbound> module) {
+        this(facts, Installation.of(facts), log, module);
+    }
+
+    /** With another module in the place of {@link Logic}. */
+    Router(StartFacts facts, Installation installation, Log log, Function<Outbound, Inbound> module) {
         this.facts = facts;
+        this.limits = installation.idle();
         this.module = module;
         this.log = log;
-        int sockets = Math.max(2, facts.mostSockets() - OTHER_DESCRIPTORS);
-        this.mostToHosts = (int) (HOSTS_PART * sockets);
-        this.mostOfClients = sockets - mostToHosts;
-        this.vertx = Vertx.builder().withTransport(new Doorway(mostOfClients))
-                .with(new VertxOptions().setEventLoopPoolSize(1).setWorkerPoolSize(1).setInternalBlockingPoolSize(1)
-                        .setFileSystemOptions(new FileSystemOptions()
-                                .setFileCachingEnabled(false).setClassPathResolvingEnabled(false)))
-                .build();
+        this.vertx = Vertx.vertx(new VertxOptions().setEventLoopPoolSize(1).setWorkerPoolSize(1)
+                .setInternalBlockingPoolSize(1).setFileSystemOptions(new FileSystemOptions()
+                        .setFileCachingEnabled(false).setClassPathResolvingEnabled(false)));
         this.context = vertx.getOrCreateContext();
     }
 
@@ -72,24 +74,31 @@
         context.exceptionHandler(this::uncaught);
         vertx.exceptionHandler(this::uncaught);
         context.runOnContext(nothing -> {
-            hosts = new HostConnections(vertx, facts, mostToHosts, counters, log);
-            logic = new LogicTask(context, new Timers(vertx), facts, module, hosts, counters, log);
+            Budget budget = new Budget(limits.memory());
+            Timers timers = new Timers(vertx);
+            hosts = new HostConnections(vertx, facts, budget, facts.mostToHosts(), counters, log);
+            logic = new LogicTask(context, timers, facts, module, hosts, counters, log);
             discovery = new Discovery(vertx, facts, logic, hosts, counters, log);
-            int spare = Math.max(1, (int) (SPARE_PART * mostOfClients));
-            clients = new Clients(vertx, facts, mostOfClients - spare, logic, counters, log);
+            IoEventLoop loop = (IoEventLoop) ((ContextInternal) context).nettyEventLoop();
+            clients = new Clients(loop, timers, facts, limits, budget, facts.mostOfClients(), logic, counters, log);
             Promise<Void> rehearsed = Promise.promise();
             Promise<Void> heard = Promise.promise();
-            clients.listen().<Void>mapEmpty().onSuccess(listening -> {
-                if (rehearses) {
-                    int most = Math.max(1, mostOfClients / 4);
-                    clients.rehearse(new Rehearsal(vertx, context, facts, module, most, played -> {
-                        log.info("rehearsed", "rpcs", played);
-                        rehearsed.tryComplete();
-                    }));
-                } else {
-                    rehearsed.complete();
-                }
-            }).onComplete(started);
+            try {
+                clients.listen();
+            } catch (IOException taken) {
+                started.fail(taken);
+                return;
+            }
+            if (rehearses) {
+                int most = Math.max(1, facts.mostOfClients() / 4);
+                clients.rehearse(new Rehearsal(vertx, context, facts, module, most, played -> {
+                    log.info("rehearsed", "rpcs", played);
+                    rehearsed.tryComplete();
+                }));
+            } else {
+                rehearsed.complete();
+            }
+            started.complete();
             discovery.start(facts.knownHosts(), heard::tryComplete);
             vertx.setTimer(FIRST_LIST_MS, timer -> heard.tryComplete());
             Future.all(rehearsed.future(), heard.future()).onSuccess(both -> {
@@ -152,6 +161,7 @@
         Promise<Void> stopped = Promise.promise();
         context.runOnContext(nothing -> {
             log.info("stopped", "counters", counters);
+            clients.stop();
             discovery.stop();
             hosts.stop();
             vertx.close().onComplete(stopped);
--- a/src/main/java/ironwind/net/Timers.java
+++ b/router/src/main/java/ironwind/net/Timers.java
@@ -21,6 +21,11 @@
         return () -> vertx.cancelTimer(id);
     }
 
+    /** Until the program ends. */
+    void every(Span span, Runnable action) {
+        vertx.setPeriodic(millis(span), timer -> action.run());
+    }
+
     /** Whole milliseconds, rounded up, one at least. */
     static int millis(Span span) {
         return (int) Math.max(1, (span.us() + 999) / 1_000);
--- a/src/main/java/ironwind/pg/Encoder.java
+++ b/router/src/main/java/ironwind/pg/Encoder.java
@@ -1,5 +1,7 @@
 package ironwind.pg;
 
+import java.nio.charset.StandardCharsets;
+import java.util.List;
 import java.util.Map;
 
 /** Messages as bytes: first what a server says, then what a client says. */
@@ -26,6 +28,22 @@
         return new byte[] {'N'};
     }
 
+    /** A table of text: a row for each list, as many values in each as there are columns. */
+    public static byte[] table(List<String> columns, List<List<String>> rows) {
+        Writer writer = new Writer().begin('T').int2(columns.size());
+        columns.forEach(column -> writer.text(column).int4(0).int2(0).int4(Row.TEXT_TYPE).int2(-1).int4(-1).int2(0));
+        writer.end();
+        for (List<String> row : rows) {
+            writer.begin('D').int2(row.size());
+            for (String value : row) {
+                byte[] text = value.getBytes(StandardCharsets.UTF_8);
+                writer.int4(text.length).raw(text);
+            }
+            writer.end();
+        }
+        return writer.begin('C').text("SELECT " + rows.size()).end().raw(READY).bytes();
+    }
+
     public static byte[] row(Row row) {
         return row(row, Map.of());
     }
--- a/src/main/java/ironwind/pg/Frames.java
+++ b/router/src/main/java/ironwind/pg/Frames.java
@@ -103,6 +103,16 @@
         bytes = NOTHING;
     }
 
+    /** Bytes of the room that is held for what has come and is no whole message yet. */
+    public int held() {
+        return from < to ? bytes.length : 0;
+    }
+
+    /** Bytes that the message which has begun will take; zero where none has, or its head has not come. */
+    public int wants() {
+        return Math.min(expected(), longest);
+    }
+
     /** Whether part of a message has come. */
     public boolean midway() {
         return from < to;
--- a/src/main/java/ironwind/pg/Row.java
+++ b/router/src/main/java/ironwind/pg/Row.java
@@ -4,7 +4,7 @@
 
 /** An answer of one row: what describes its one column, its value, and the words that complete it. */
 public record Row(byte[] description, byte[] data, String tag) {
-    private static final int TEXT_TYPE = 25;
+    static final int TEXT_TYPE = 25;
 
     /** A row of text, as a server that makes one itself would. */
     public static Row ofText(String column, String value) {
--- /dev/null
+++ b/router/src/main/java/ironwind/start/Installation.java
@@ -0,0 +1,42 @@
+package ironwind.start;
+
+import ironwind.hcl.Block;
+import ironwind.hcl.Complaints;
+import ironwind.hcl.HclReader;
+import ironwind.hcl.Section;
+import ironwind.idle.Limits;
+import java.nio.file.Path;
+
+/** What {@code deploy/ironwind.hcl} says, a block a subsystem; without the file everything is as the start facts say. */
+public record Installation(Limits idle, LogForm logForm) {
+    /** How log lines are written. */
+    public enum LogForm {
+        /** Time, level, event, then key=value pairs. */
+        PAIRS,
+        /** One JSON object a line. */
+        JSON
+    }
+
+    /** Without a file. */
+    public static Installation of(StartFacts facts) {
+        return new Installation(facts.idleLimits(), LogForm.PAIRS);
+    }
+
+    /** Reads a file whole or not at all; an {@link ironwind.hcl.HclFault} tells all that is wrong with it. */
+    public static Installation read(Path file, Limits otherwise) {
+        Complaints complaints = new Complaints(file.toString());
+        Block block = HclReader.read(file, complaints);
+        return read(block, otherwise, complaints);
+    }
+
+    static Installation read(Block file, Limits otherwise, Complaints complaints) {
+        Section all = new Section(file, complaints);
+        Section log = all.only("log");
+        Installation read = new Installation(IdleBlock.read(all.only("idle"), otherwise),
+                log.choice("form", LogForm.class, LogForm.PAIRS));
+        log.done();
+        all.done();
+        complaints.throwIfAny();
+        return read;
+    }
+}
--- a/src/main/java/ironwind/start/StartFacts.java
+++ b/router/src/main/java/ironwind/start/StartFacts.java
@@ -2,11 +2,14 @@
 
 import io.vertx.core.json.DecodeException;
 import io.vertx.core.json.JsonObject;
+import ironwind.idle.Limits;
 import ironwind.model.Deployment;
+import ironwind.model.Method;
 import ironwind.model.Span;
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.List;
 
 /** The facts that a real router is started with. */
 public record StartFacts(
@@ -24,6 +27,12 @@
         Span answerSlack) {
     /** DEPLOY and LATER: no router gets less. */
     private static final int LEAST_MEMORY_MB = 32;
+    /** Descriptors for all that is no connection of a client or a host: files, selectors, discovery. */
+    private static final int OTHER_DESCRIPTORS = 32;
+    /** Of the others, the part that connections to hosts may take. */
+    private static final double HOSTS_PART = 0.4;
+    /** Of the clients' part, what the door lets in beyond it, so that one that comes can take another's place. */
+    private static final double SPARE_PART = 0.1;
 
     /** Reads them from a JSON file; a {@link StartFault} tells what is missing or malformed. */
     public static StartFacts read(Path file) {
@@ -49,6 +58,29 @@
                 new Span(settings.needWhole("rules.answer_slack_us")));
     }
 
+    /** Limits on client connections, where nothing else is said: a part of the descriptors is theirs. */
+    public Limits idleLimits() {
+        int clients = mostOfClients();
+        int spare = Math.max(1, (int) (SPARE_PART * clients));
+        List<Span> deadlines = deployment.methods().stream().map(Method::deadline).sorted().toList();
+        return Limits.of(clients - spare, memoryMb, deadlines.isEmpty() ? Span.ZERO : deadlines.get(0),
+                deadlines.isEmpty() ? Span.ZERO : deadlines.get(deadlines.size() - 1));
+    }
+
+    /** Descriptors for connections to hosts. */
+    public int mostToHosts() {
+        return (int) (HOSTS_PART * forConnections());
+    }
+
+    /** Descriptors for clients, those included that are on their way in or out. */
+    public int mostOfClients() {
+        return forConnections() - mostToHosts();
+    }
+
+    private int forConnections() {
+        return Math.max(2, mostSockets - OTHER_DESCRIPTORS);
+    }
+
     /** The same facts, but for how long connections to hosts may take to come up. */
     public StartFacts withConnectTime(Span time) {
         return new StartFacts(name, listen, discovery, seed, mostSockets, memoryMb, knownHosts, deployment, names, time,
--- a/src/test/java/ironwind/cli/MainTest.java
+++ b/router/src/test/java/ironwind/boot/MainTest.java
@@ -1,4 +1,4 @@
-package ironwind.cli;
+package ironwind.boot;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
--- a/src/test/java/ironwind/net/RouterTest.java
+++ b/router/src/test/java/ironwind/net/RouterTest.java
@@ -51,7 +51,7 @@
 import org.junit.jupiter.params.provider.ValueSource;
 
 /** A router on loopback between clients, one group of hosts and discovery, all played from the public protocols. */
-@Timeout(10)
+@Timeout(value = 10, threadMode = Timeout.ThreadMode.SEPARATE_THREAD)
 class RouterTest {
     private static final String CUT = "no answer, and the connection is cut";
     private static final String SILENT = "no answer at all";
