Idle connections: deciding classes tested beside models, failures caused on sockets, lab idle

Need: the failures that many connections bring were caused nowhere, and nobody could say what one costs. Change: standin (hosts, discovery), lab (crowds, active load, figures by process and class), cli on picocli with check, serve, adapter and lab; a client that we stop reading as it is owed much counts as busy, not as slow to send.

--- /dev/null
+++ b/cli/src/main/java/ironwind/cli/Check.java
@@ -0,0 +1,45 @@
+package ironwind.cli;
+
+import ironwind.hcl.HclFault;
+import ironwind.idle.Limits;
+import ironwind.model.Span;
+import ironwind.start.Installation;
+import ironwind.start.StartFacts;
+import java.nio.file.Path;
+import java.util.concurrent.Callable;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Model.CommandSpec;
+import picocli.CommandLine.Option;
+import picocli.CommandLine.Parameters;
+import picocli.CommandLine.Spec;
+
+/** Check a configuration without starting anything. */
+@Command(name = "check", mixinStandardHelpOptions = true,
+        description = "Check an installation's HCL file; all that is wrong is told at once, by file and line.")
+final class Check implements Callable<Integer> {
+    /** What a router has where nobody says otherwise: DEPLOY's limits. */
+    private static final Limits USUAL = Limits.of(535, 192, Span.ofMillis(1_000), Span.ofMillis(3_000));
+
+    @Spec
+    private CommandSpec spec;
+
+    @Parameters(paramLabel = "FILE")
+    private Path file;
+
+    @Option(names = "--facts", paramLabel = "FILE",
+            description = "JSON of a router's start facts, from which the defaults come.")
+    private Path facts;
+
+    @Override
+    public Integer call() {
+        Limits limits = facts == null ? USUAL : StartFacts.read(facts).idleLimits();
+        try {
+            Installation.read(file, limits);
+        } catch (HclFault fault) {
+            fault.lines().forEach(spec.commandLine().getErr()::println);
+            return 1;
+        }
+        spec.commandLine().getOut().println(file + ": good");
+        return 0;
+    }
+}
--- /dev/null
+++ b/cli/src/main/java/ironwind/cli/Lab.java
@@ -0,0 +1,9 @@
+package ironwind.cli;
+
+import picocli.CommandLine.Command;
+
+/** Load and measurements. */
+@Command(name = "lab", mixinStandardHelpOptions = true, description = "Load, experiments and measurements.",
+        subcommands = {LabIdle.class, LabKeeper.class})
+final class Lab {
+}
--- /dev/null
+++ b/cli/src/main/java/ironwind/cli/LibrarySink.java
@@ -0,0 +1,62 @@
+package ironwind.cli;
+
+import ch.qos.logback.classic.Level;
+import ch.qos.logback.classic.Logger;
+import ch.qos.logback.classic.LoggerContext;
+import ch.qos.logback.classic.encoder.JsonEncoder;
+import ch.qos.logback.classic.encoder.PatternLayoutEncoder;
+import ch.qos.logback.classic.spi.ILoggingEvent;
+import ch.qos.logback.core.ConsoleAppender;
+import ch.qos.logback.core.encoder.Encoder;
+import ironwind.net.Log;
+import ironwind.start.Installation.LogForm;
+import org.slf4j.LoggerFactory;
+import org.slf4j.spi.LoggingEventBuilder;
+
+/** Log lines by way of SLF4J and logback, with what else in the program logs there. */
+final class LibrarySink implements Log.Sink {
+    private static final String PAIRS = "%d{\"yyyy-MM-dd'T'HH:mm:ss.SSS'Z'\", UTC} %level %msg %kvp{DOUBLE}%n";
+
+    private final org.slf4j.Logger logger;
+
+    LibrarySink(LogForm form) {
+        LoggerContext context = (LoggerContext) LoggerFactory.getILoggerFactory();
+        context.reset();
+        ConsoleAppender<ILoggingEvent> appender = new ConsoleAppender<>();
+        appender.setContext(context);
+        appender.setTarget("System.err");
+        appender.setEncoder(encoder(form, context));
+        appender.start();
+        Logger root = context.getLogger(org.slf4j.Logger.ROOT_LOGGER_NAME);
+        root.addAppender(appender);
+        root.setLevel(Level.INFO);
+        logger = context.getLogger("ironwind");
+    }
+
+    private static Encoder<ILoggingEvent> encoder(LogForm form, LoggerContext context) {
+        if (form == LogForm.JSON) {
+            JsonEncoder json = new JsonEncoder();
+            json.setContext(context);
+            json.start();
+            return json;
+        }
+        PatternLayoutEncoder pairs = new PatternLayoutEncoder();
+        pairs.setContext(context);
+        pairs.setPattern(PAIRS);
+        pairs.start();
+        return pairs;
+    }
+
+    @Override
+    public void line(Log.Level level, String event, Object... pairs) {
+        LoggingEventBuilder line = switch (level) {
+            case INFO -> logger.atInfo();
+            case WARN -> logger.atWarn();
+            case ERROR -> logger.atError();
+        };
+        for (int i = 0; i + 1 < pairs.length; i += 2) {
+            line = line.addKeyValue(pairs[i].toString(), String.valueOf(pairs[i + 1]));
+        }
+        line.log(event);
+    }
+}
--- /dev/null
+++ b/cli/src/main/java/ironwind/cli/package-info.java
@@ -0,0 +1,2 @@
+/** The operator's command line, a class a command. */
+package ironwind.cli;
--- /dev/null
+++ b/lab/src/main/java/ironwind/lab/LabClient.java
@@ -0,0 +1,136 @@
+package ironwind.lab;
+
+import ironwind.pg.Encoder;
+import ironwind.pg.Frame;
+import ironwind.pg.Frames;
+import ironwind.pg.HostMessage;
+import ironwind.standin.Link;
+import ironwind.standin.Loop;
+import java.net.InetSocketAddress;
+
+/** One client's connection: asks, and tells how each question was answered. Silent, it holds next to nothing. */
+final class LabClient implements Loop.Handler {
+    private static final int LARGEST = 1 << 22;
+
+    /** How a question, or the connection, came out. */
+    enum Answer { OK, PUSHED_BACK, ABORTED, CLOSED }
+
+    /** Hears of the end of each question; {@code asked} is the time given with it. */
+    interface Listener {
+        void answered(LabClient client, Answer answer, long asked);
+
+        /** The connection is up and welcomed. */
+        default void greeted(LabClient client) {
+        }
+
+        /** It ended while nothing was asked on it. */
+        default void ended(LabClient client) {
+        }
+    }
+
+    private final Listener listener;
+    private Link link;
+    private Frames frames;
+    private boolean greeted;
+    private boolean row;
+    private Answer answer;
+    private long asked = -1;
+
+    LabClient(Listener listener) {
+        this.listener = listener;
+    }
+
+    static LabClient connect(Loop loop, InetSocketAddress from, InetSocketAddress to, Listener listener) {
+        LabClient client = new LabClient(listener);
+        client.link = loop.connect(from, to, client);
+        return client;
+    }
+
+    Listener listener() {
+        return listener;
+    }
+
+    boolean isFree() {
+        return greeted && asked < 0 && link.isOpen();
+    }
+
+    boolean isOpen() {
+        return link != null && link.isOpen();
+    }
+
+    /** Sends a read; {@code at} is kept for the answer. */
+    void read(String id, String key, long waitsMs, long at) {
+        asked = at;
+        row = false;
+        answer = null;
+        link.write(Encoder.query("/* id=" + id + ",c=read,d=" + waitsMs + ",cluster=0,t=one */ "
+                + "SELECT val FROM state WHERE uid = '" + key + "'"));
+    }
+
+    /** Sends many, and reads nothing. */
+    void readDeaf(String id, String key, long waitsMs, int times) {
+        link.deaf(true);
+        for (int i = 0; i < times; i++) {
+            read(id + "-" + i, key, waitsMs, System.nanoTime());
+        }
+    }
+
+    void close() {
+        link.close();
+    }
+
+    @Override
+    public void opened(Link up) {
+        link = up;
+        link.write(Encoder.startup("client", "core"));
+    }
+
+    @Override
+    public void received(Link from, byte[] bytes) {
+        if (frames == null) {
+            frames = new Frames(false, HostMessage.TYPES, LARGEST);
+        }
+        frames.add(bytes);
+        for (Frame frame = frames.next(); frame != null; frame = frames.next()) {
+            switch (frame.type()) {
+                case 'D' -> row = true;
+                case 'E' -> answer = isPushback(frame) ? Answer.PUSHED_BACK : Answer.ABORTED;
+                case 'Z' -> ready();
+                default -> { }
+            }
+        }
+        if (!frames.midway()) {
+            frames = null;
+        }
+    }
+
+    private static boolean isPushback(Frame frame) {
+        return HostMessage.decode(frame) instanceof HostMessage.Failed failed
+                && (failed.failure().code().equals("53300") || failed.failure().code().equals("57P03"));
+    }
+
+    private void ready() {
+        if (!greeted) {
+            greeted = true;
+            listener.greeted(this);
+        } else if (asked >= 0) {
+            end(answer != null ? answer : row ? Answer.OK : Answer.ABORTED);
+        }
+    }
+
+    private void end(Answer how) {
+        long at = asked;
+        asked = -1;
+        listener.answered(this, how, at);
+    }
+
+    @Override
+    public void closed(Link from) {
+        if (asked >= 0) {
+            // A fatal error needs no ReadyForQuery behind it.
+            end(answer != null ? answer : Answer.CLOSED);
+        } else {
+            listener.ended(this);
+        }
+    }
+}
--- a/router/src/main/java/ironwind/boot/Main.java
+++ b/router/src/main/java/ironwind/boot/Main.java
@@ -3,8 +3,8 @@
 import ironwind.adapter.Adapter;
 import ironwind.hcl.HclFault;
 import ironwind.net.Log;
-import ironwind.net.Router;
 import ironwind.start.Installation;
+import ironwind.start.Installation.LogForm;
 import ironwind.start.StartFacts;
 import ironwind.start.StartFault;
 import java.io.FileOutputStream;
@@ -15,9 +15,8 @@
 import java.io.PrintStream;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Path;
-import sun.misc.Signal;
 
-/** The command line: a subcommand, or {@code --help} or {@code --version}. */
+/** The small command line of a router's own jar, which starts quickly; {@code ironwind.cli} has the whole one. */
 public final class Main {
     private static final String USAGE = """
             usage: ironwind COMMAND
@@ -53,16 +52,10 @@
             StartFacts facts = StartFacts.read(Path.of(file));
             Installation installation = hcl == null ? Installation.of(facts)
                     : Installation.read(Path.of(hcl), facts.idleLimits());
-            Log log = new Log(errors).withLibraries();
-            Router router = new Router(facts, installation, log);
-            Signal.handle(new Signal("HUP"), signal -> reload(router, file, log));
-            router.start().await();
-            Runtime.getRuntime().addShutdownHook(new Thread(() -> {
-                router.drain().await();
-                router.stop().await();
-                Runtime.getRuntime().halt(0);
-            }));
-            Thread.currentThread().join();
+            if (installation.logForm() != LogForm.PAIRS) {
+                throw new StartFault("log.form: this jar writes pairs only, the ironwind command writes json too");
+            }
+            new Service(Path.of(file), facts, installation, new Log(errors).withLibraries()).run();
             return 0;
         } catch (Exception e) {
             errors.println("ironwind: " + (e instanceof StartFault || e instanceof HclFault ? e.getMessage() : e));
@@ -70,15 +63,6 @@
         }
     }
 
-    /** A file that can't be read or is not whole leaves what holds in force. */
-    private static void reload(Router router, String file, Log log) {
-        try {
-            router.reload(StartFacts.read(Path.of(file)));
-        } catch (RuntimeException e) {
-            log.warn("reload_failed", "cause", e instanceof StartFault ? e.getMessage() : e);
-        }
-    }
-
     static int run(String[] args, InputStream in, OutputStream out, PrintStream errors) throws IOException {
         String word = args.length == 1 ? args[0] : "";
         switch (word) {
--- /dev/null
+++ b/router/src/main/java/ironwind/boot/Service.java
@@ -0,0 +1,46 @@
+package ironwind.boot;
+
+import ironwind.hcl.HclFault;
+import ironwind.net.Log;
+import ironwind.net.Router;
+import ironwind.start.Installation;
+import ironwind.start.StartFacts;
+import ironwind.start.StartFault;
+import java.nio.file.Path;
+import sun.misc.Signal;
+
+/** A router as a process: SIGTERM lets it drain and end, SIGHUP has it read its facts again. */
+public final class Service {
+    private final Path file;
+    private final Log log;
+    private final Router router;
+
+    /** {@code file}: where the facts came from. */
+    public Service(Path file, StartFacts facts, Installation installation, Log log) {
+        this.file = file;
+        this.log = log;
+        this.router = new Router(facts, installation, log);
+    }
+
+    /** Serves until the process is asked to end; throws where it can't begin. */
+    public void run() throws InterruptedException {
+        Signal.handle(new Signal("HUP"), signal -> reload());
+        router.start().await();
+        Runtime.getRuntime().addShutdownHook(new Thread(() -> {
+            router.drain().await();
+            router.stop().await();
+            Runtime.getRuntime().halt(0);
+        }));
+        Thread.currentThread().join();
+    }
+
+    /** A file that can't be read or is not whole leaves what holds in force. */
+    private void reload() {
+        try {
+            router.reload(StartFacts.read(file));
+        } catch (RuntimeException e) {
+            boolean known = e instanceof StartFault || e instanceof HclFault;
+            log.warn("reload_failed", "cause", known ? e.getMessage() : e);
+        }
+    }
+}
--- a/router/src/main/java/ironwind/idle/Turns.java
+++ b/router/src/main/java/ironwind/idle/Turns.java
@@ -5,8 +5,8 @@
 /**
  * Who is read when many speak at once. Those that were answered lately are read as they come. The others are a crowd:
  * they are read for one turn's time, then wait in the order in which they came, and those who are active are looked
- * at between two turns. While many RPCs are open, or memory is short, the crowd waits. What has waited for so long
- * that it can hardly be served in its time is read to be pushed back.
+ * at between two turns. While many RPCs are open the crowd waits. What has waited for so long that it can hardly be
+ * served in its time is read to be pushed back, as is what finds no memory: an answer takes none that is kept.
  */
 public final class Turns {
     private final Limits limits;
@@ -97,7 +97,7 @@
     }
 
     private boolean hasRoom(int openRpcs) {
-        return openRpcs < limits.openRpcs() && budget.hasRoomForNew(0);
+        return openRpcs < limits.openRpcs();
     }
 
     private boolean late(long now) {
--- a/router/src/main/java/ironwind/net/ClientConnection.java
+++ b/router/src/main/java/ironwind/net/ClientConnection.java
@@ -274,7 +274,8 @@
             closed(closing);
             return;
         }
-        Standing now = parting ? Standing.PARTING : first != null ? Standing.BUSY : !started ? Standing.STRANGER
+        // One that is not read from, as it is owed much, does not keep us waiting for its message: we keep it waiting.
+        Standing now = parting ? Standing.PARTING : first != null || hasEnough() ? Standing.BUSY : !started ? Standing.STRANGER
                 : frames != null ? Standing.HALFWAY : served ? Standing.SERVED : Standing.GREETED;
         if (anew || now != standing()) {
             clients.stands(this, now);
--- a/router/src/main/java/ironwind/net/Clients.java
+++ b/router/src/main/java/ironwind/net/Clients.java
@@ -171,18 +171,19 @@
     }
 
     private void makeRoom() {
-        for (int i = 0; i < MOST_WOKEN; i++) {
-            Peer least = keeper.toGiveWay();
-            if (least == null || giveWay(least, Reason.GAVE_WAY)) {
-                return;
-            }
+        int woken = 0;
+        Peer least = keeper.toGiveWay();
+        while (least != null && woken < MOST_WOKEN) {
+            woken += giveWay(least, Reason.GAVE_WAY) ? 0 : 1;
+            least = keeper.toGiveWay();
         }
     }
 
     /** Ends one that carries nothing, unless its client has just spoken. */
     private boolean giveWay(Peer peer, Reason reason) {
+        boolean parted = peer.standing() == Standing.PARTING;
         boolean ended = ((ClientConnection) peer).giveWay();
-        if (ended) {
+        if (ended && !parted) {
             keeper.count(reason);
         }
         return ended;
--- a/router/src/main/java/ironwind/net/Log.java
+++ b/router/src/main/java/ironwind/net/Log.java
@@ -5,6 +5,7 @@
 import java.time.Instant;
 import java.time.InstantSource;
 import java.time.temporal.ChronoUnit;
+import java.util.Arrays;
 import java.util.HashMap;
 import java.util.Map;
 import java.util.logging.Handler;
@@ -13,13 +14,13 @@
 import java.util.logging.Logger;
 
 /**
- * One line an event: time, level, event, then key=value pairs. A warning that comes often is told once a second,
+ * One line an event: time, level, event, then key=value pairs, or what else a {@link Sink} makes of it. A warning that comes often is told once a second,
  * with how many of it were left out since.
  */
 public final class Log {
     private static final Duration WARN_EVERY = Duration.ofSeconds(1);
 
-    private final PrintStream out;
+    private final Sink sink;
     private final InstantSource clock;
     private final Map<String, Told> warnings = new HashMap<>();
 
@@ -29,12 +30,30 @@
         private int leftOut;
     }
 
+    /** How much a line matters. */
+    public enum Level { INFO, WARN, ERROR }
+
+    /** Where lines go, in which form. */
+    public interface Sink {
+        /** Pairs are a name and a value each. */
+        void line(Level level, String event, Object... pairs);
+    }
+
     public Log(PrintStream out) {
         this(out, InstantSource.system());
     }
 
+    /** With lines that a library writes. */
+    public Log(Sink sink) {
+        this(sink, InstantSource.system());
+    }
+
     Log(PrintStream out, InstantSource clock) {
-        this.out = out;
+        this((level, event, pairs) -> out.println(plain(clock, level, event, pairs)), clock);
+    }
+
+    private Log(Sink sink, InstantSource clock) {
+        this.sink = sink;
         this.clock = clock;
     }
 
@@ -66,7 +85,7 @@
 
     /** Pairs are a name and a value each. */
     public void info(String event, Object... pairs) {
-        line("INFO", event, "", pairs);
+        sink.line(Level.INFO, event, pairs);
     }
 
     public synchronized void warn(String event, Object... pairs) {
@@ -76,7 +95,13 @@
             told.leftOut++;
             return;
         }
-        line("WARN", event, told.leftOut == 0 ? "" : " left_out=" + told.leftOut, pairs);
+        Object[] all = pairs;
+        if (told.leftOut > 0) {
+            all = Arrays.copyOf(pairs, pairs.length + 2);
+            all[pairs.length] = "left_out";
+            all[pairs.length + 1] = told.leftOut;
+        }
+        sink.line(Level.WARN, event, all);
         told.at = now;
         told.leftOut = 0;
     }
@@ -84,16 +109,16 @@
     /** An exception that nothing expected, with its place. */
     public void error(String event, Throwable fault) {
         StackTraceElement[] trace = fault.getStackTrace();
-        line("ERROR", event, "", "fault", fault, "at", trace.length == 0 ? "" : trace[0]);
+        sink.line(Level.ERROR, event, "fault", fault, "at", trace.length == 0 ? "" : trace[0]);
     }
 
-    private void line(String level, String event, String end, Object... pairs) {
+    private static String plain(InstantSource clock, Level level, String event, Object... pairs) {
         StringBuilder line = new StringBuilder(96).append(clock.instant().truncatedTo(ChronoUnit.MILLIS)).append(' ')
                 .append(level).append(' ').append(event);
         for (int i = 0; i + 1 < pairs.length; i += 2) {
             line.append(' ').append(pairs[i]).append('=').append(quoted(String.valueOf(pairs[i + 1])));
         }
-        out.println(line.append(end));
+        return line.toString();
     }
 
     private static String quoted(String value) {
--- a/router/src/test/java/ironwind/LogicTest.java
+++ b/router/src/test/java/ironwind/LogicTest.java
@@ -7,6 +7,7 @@
 import ironwind.model.Effect;
 import ironwind.model.Host;
 import ironwind.model.Moment;
+import ironwind.model.Span;
 import ironwind.model.Outcome;
 import ironwind.model.Role;
 import ironwind.model.Room;
@@ -54,6 +55,20 @@
         assertThat(List.of(Scene.path(first), Scene.path(second))).containsExactlyInAnyOrder("b", "c");
     }
 
+    /** Guards against an RPC that nothing holds any more and that still goes out, or stays without an answer. */
+    @Test
+    void whatThereIsNoRoomToHoldIsPushedBackAtOnceAndGoesNowhere() {
+        Scene scene = new Scene(HostChecks.NONE, false, Effect.NON_IDEMPOTENT, 1).list(true, "a:primary", "b");
+        Rpc rpc = new Rpc("x", scene.arrive(Scene.ANY).method, null, scene.logic.group(1), "s", scene.now(),
+                scene.now().plus(Span.ofMillis(900)), Moment.NEVER, false);
+        rpc.roomless = true;
+        scene.asked.clear();
+        scene.logic.arrived(scene.now(), rpc);
+        scene.logic.settle(scene.now());
+        assertThat(scene.asked).containsExactly("push back x");
+        assertThat(rpc.callOuts).isEmpty();
+    }
+
     @Test
     void whereHostsCheckAReplicaIsTriedThenThePrimaryAndOneFoundBehindIsLeftAlone() {
         Scene scene = scene(HostChecks.REFUSE);
--- /dev/null
+++ b/router/src/test/java/ironwind/idle/KeeperTest.java
@@ -0,0 +1,206 @@
+package ironwind.idle;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import ironwind.model.Span;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Objects;
+import net.jqwik.api.Arbitraries;
+import net.jqwik.api.Arbitrary;
+import net.jqwik.api.Combinators;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.Provide;
+import org.junit.jupiter.api.Test;
+
+/** The keeper beside a naive model that keeps a plain list and searches all of it. */
+class KeeperTest {
+    private static final int MOST = 6;
+    private static final int OF_ADDRESS = 3;
+    private static final int OF_CUSTOMER = 2;
+    private static final Limits LIMITS = limits(MOST, OF_ADDRESS, OF_CUSTOMER, 0, 0);
+
+    static Limits limits(int connections, int perAddress, int perCustomer, int newPerSecond, int newAtOnce) {
+        return new Limits(connections, perAddress, perCustomer, newPerSecond, newAtOnce, Span.ofMillis(20),
+                Span.ofMillis(30), Span.ofMillis(40), Span.ofMillis(90), Span.ofMillis(50), 0.5, 1_000, 100, 400,
+                Span.ofMillis(100), 4, Span.ofMillis(1), Span.ofMillis(50), Span.ofMillis(60), Span.ZERO);
+    }
+
+    static final class Bare extends Peer {
+    }
+
+    /** What a model knows of one connection. */
+    private static final class Known {
+        private final Peer peer = new Bare();
+        private final String address;
+        private Standing standing = Standing.STRANGER;
+        private long since;
+        /** Orders those that came to their standing at one time. */
+        private long order;
+        private String customer;
+
+        private Known(String address) {
+            this.address = address;
+        }
+    }
+
+    private record Step(int kind, int which, int standing, long passes) {
+    }
+
+    @Provide
+    Arbitrary<List<Step>> steps() {
+        return Combinators.combine(Arbitraries.integers().between(0, 5), Arbitraries.integers().between(0, 9),
+                Arbitraries.integers().between(0, Standing.values().length - 1),
+                Arbitraries.longs().between(0, 30_000)).as(Step::new).list().ofMinSize(1).ofMaxSize(120);
+    }
+
+    private final List<Known> inside = new ArrayList<>();
+    private long order;
+
+    @Property(tries = 400, seed = "20261201")
+    void agreesWithASearchOfAll(@ForAll("steps") List<Step> steps) {
+        Keeper keeper = new Keeper(LIMITS);
+        inside.clear();
+        long now = 1_000;
+        for (Step step : steps) {
+            now += step.passes;
+            act(keeper, step, now);
+            for (Standing standing : Standing.values()) {
+                assertThat(keeper.standing(standing)).isEqualTo(inside.stream()
+                        .filter(known -> known.standing == standing).count());
+            }
+            assertThat(keeper.inside()).isEqualTo(inside.size());
+            assertThat(keeper.addresses()).isEqualTo(inside.stream().map(known -> known.address).distinct().count());
+            Known least = leastKnown();
+            assertThat(keeper.toGiveWay()).isSameAs(inside.size() < MOST || least == null ? null : least.peer);
+            checkDue(keeper, now);
+        }
+    }
+
+    private void act(Keeper keeper, Step step, long now) {
+        if (step.kind <= 1) {
+            String address = "a" + step.which % 4;
+            long same = inside.stream().filter(known -> known.address.equals(address)).count();
+            Reason expected = same >= OF_ADDRESS ? Reason.ADDRESS_FULL
+                    : inside.size() >= MOST && leastKnown() == null ? Reason.ALL_BUSY : null;
+            assertThat(keeper.refusal(address)).isEqualTo(expected);
+            if (expected == null) {
+                Known known = new Known(address);
+                stand(known, Standing.STRANGER, now);
+                inside.add(known);
+                keeper.enter(known.peer, address, now);
+            }
+            return;
+        } else if (inside.isEmpty()) {
+            return;
+        }
+        Known known = inside.get(step.which % inside.size());
+        switch (step.kind) {
+            case 2 -> {
+                keeper.leave(known.peer);
+                keeper.leave(known.peer);
+                inside.remove(known);
+                assertThat(known.peer.standing()).isNull();
+            }
+            case 3 -> {
+                known.customer = step.standing == 0 ? null : "c" + step.standing % 2;
+                Peer over = keeper.served(known.peer, known.customer, now);
+                assertThat(over).isSameAs(overCustomer(known.customer));
+            }
+            default -> {
+                stand(known, Standing.values()[step.standing], now);
+                keeper.stands(known.peer, known.standing, now);
+            }
+        }
+    }
+
+    private void stand(Known known, Standing standing, long now) {
+        known.standing = standing;
+        known.since = now;
+        known.order = order++;
+    }
+
+    private Peer overCustomer(String customer) {
+        List<Known> all = inside.stream().filter(known -> customer != null && customer.equals(known.customer)).toList();
+        return all.size() <= OF_CUSTOMER ? null : all.stream().filter(known -> known.standing == Standing.SERVED)
+                .filter(known -> stoodAsCustomers(known)).min(Comparator.comparingLong(known -> known.order))
+                .map(known -> known.peer).orElse(null);
+    }
+
+    /** It counts as idle for its customer once it has come to be served on the customer's behalf. */
+    private boolean stoodAsCustomers(Known known) {
+        return known.peer.customersBefore != null || known.peer.customer != null
+                && known.peer.customer.longestIdle() == known.peer;
+    }
+
+    private Known leastKnown() {
+        return inside.stream().filter(known -> known.standing.compareTo(Standing.HALFWAY) < 0)
+                .min(Comparator.comparing((Known known) -> known.standing).thenComparing(known -> known.order))
+                .orElse(null);
+    }
+
+    private void checkDue(Keeper keeper, long now) {
+        List<Peer> due = inside.stream().filter(known -> {
+            long patience = switch (known.standing) {
+                case PARTING -> 300_000;
+                case STRANGER -> 20_000;
+                case HALFWAY -> 30_000;
+                case GREETED -> 40_000;
+                case SERVED -> inside.size() > MOST / 2 ? 50_000 : 90_000;
+                case BUSY -> Long.MAX_VALUE;
+            };
+            return now - known.since > patience;
+        }).map(known -> known.peer).toList();
+        Peer told = keeper.due(now);
+        if (due.isEmpty()) {
+            assertThat(told).isNull();
+        } else {
+            assertThat(due).contains(Objects.requireNonNull(told));
+        }
+    }
+
+    /** Guards against a door that lets in more than its rate, or none again after a pause. */
+    @Test
+    void theDoorKeepsItsRate() {
+        Keeper keeper = new Keeper(limits(10_000, 0, 0, 100, 10));
+        int let = 0;
+        for (long now = 0; now < 2_000_000; now += 500) {
+            while (keeper.opens(now)) {
+                keeper.enter(new Bare(), "a", now);
+                let++;
+            }
+            assertThat(keeper.opensIn(now).us()).isBetween(1_000L, 10_000L);
+        }
+        assertThat(let).isBetween(205, 210);
+        keeper.opens(3_600_000_000L);
+        int after = 0;
+        while (keeper.opens(3_600_000_000L)) {
+            keeper.enter(new Bare(), "a", 3_600_000_000L);
+            after++;
+        }
+        assertThat(after).isEqualTo(10);
+    }
+
+    /** Guards against a newcomer that is chosen to make room for itself. */
+    @Test
+    void whoComesIsNotWhoGivesWay() {
+        Keeper keeper = new Keeper(limits(2, 0, 0, 0, 0));
+        Peer first = new Bare();
+        Peer second = new Bare();
+        for (Peer peer : List.of(first, second)) {
+            keeper.enter(peer, "a", 1);
+            keeper.served(peer, null, 1);
+            keeper.stands(peer, Standing.SERVED, 1);
+        }
+        assertThat(keeper.toGiveWay()).isSameAs(first);
+        keeper.leave(first);
+        assertThat(keeper.toGiveWay()).isNull();
+        keeper.stands(second, Standing.BUSY, 2);
+        keeper.enter(first, "a", 2);
+        keeper.stands(first, Standing.HALFWAY, 2);
+        assertThat(keeper.toGiveWay()).isNull();
+        assertThat(keeper.refusal("b")).isEqualTo(Reason.ALL_BUSY);
+    }
+}
