--- a/cli/src/main/java/ironwind/cli/LabSockets.java
+++ b/cli/src/main/java/ironwind/cli/LabSockets.java
@@ -9,12 +9,15 @@
 @Command(name = "sockets", mixinStandardHelpOptions = true,
         description = "Measure the live heap of one accepted connection by the layers above its socket.")
 final class LabSockets implements Callable<Integer> {
-    @Option(names = "--connections", defaultValue = "4000", description = "Of each way (default: ${DEFAULT-VALUE}).")
+    @Option(names = "--connections", defaultValue = "4000", description = "How many (default: ${DEFAULT-VALUE}).")
     private int connections;
 
+    @Option(names = "--way", defaultValue = "vertx", description = "${COMPLETION-CANDIDATES}")
+    private SocketTrial.Way way;
+
     @Override
     public Integer call() throws Exception {
-        new SocketTrial(System.out).run(connections);
+        new SocketTrial(System.out).run(way, connections);
         return 0;
     }
 }
--- /dev/null
+++ b/cli/src/test/java/ironwind/cli/LibrarySinkTest.java
@@ -0,0 +1,43 @@
+package ironwind.cli;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.vertx.core.json.JsonObject;
+import ironwind.net.Log;
+import ironwind.start.Installation.LogForm;
+import java.io.ByteArrayOutputStream;
+import java.io.PrintStream;
+import java.nio.charset.StandardCharsets;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
+
+/** Lines that a library writes: what they say must be found again by a program. */
+class LibrarySinkTest {
+    @ParameterizedTest
+    @EnumSource(LogForm.class)
+    void namesAndValuesAreToldAsTheyAre(LogForm form) {
+        PrintStream before = System.err;
+        ByteArrayOutputStream written = new ByteArrayOutputStream();
+        try {
+            System.setErr(new PrintStream(written, true, StandardCharsets.UTF_8));
+            Log log = new Log(new LibrarySink(form));
+            log.info("ready", "name", "n1", "words", "two \"words\"");
+            log.warn("client_refused", "open", 7);
+            log.warn("client_refused", "open", 8);
+        } finally {
+            System.setErr(before);
+        }
+        String[] lines = written.toString(StandardCharsets.UTF_8).split("\n");
+        assertThat(lines).hasSize(2);
+        if (form == LogForm.JSON) {
+            JsonObject first = new JsonObject(lines[0]);
+            assertThat(first.getString("message")).isEqualTo("ready");
+            assertThat(first.getString("level")).isEqualTo("INFO");
+            assertThat(first.getJsonArray("kvpList").encode()).isEqualTo(
+                    "[{\"name\":\"n1\"},{\"words\":\"two \\\"words\\\"\"}]");
+        } else {
+            assertThat(lines[0]).matches("20\\S+Z INFO ready name=\"n1\" words=\"two .*words.*\"\\s*");
+            assertThat(lines[1]).matches("20\\S+Z WARN client_refused open=\"7\"\\s*");
+        }
+    }
+}
--- a/deploy/ironwind.hcl
+++ b/deploy/ironwind.hcl
@@ -1,3 +1,5 @@
+# For a router whose start facts allow 40,000 descriptors.
+#
 # Limits of an installation with lasting connections, such as game servers hold. The platform's line `run` names no such
 # file, and then everything follows from the router's start facts. Check it with: ironwind check deploy/ironwind.hcl
 
--- a/router/src/main/java/ironwind/idle/Limits.java
+++ b/router/src/main/java/ironwind/idle/Limits.java
@@ -41,6 +41,13 @@
     private static final double CROWD_PART = 0.25;
     private static final int RPCS_A_MEGABYTE = 16;
 
+    /** The same, but for no more connections than so many. */
+    public Limits atMost(int most) {
+        return new Limits(Math.min(most, connections), perAddress, perCustomer, newPerSecond, newAtOnce, startupTime,
+                messageTime, greetedTime, servedTime, crowdedTime, crowdedPart, memory, owedEach, owedAll,
+                slowReaderTime, openRpcs, turnTime, crowdTime, activeTime, keepalive, sendBuffer);
+    }
+
     /**
      * What holds where nothing else is said, from the facts of the start: connections that have asked nothing for 2 s
      * are closed, as are served ones while more than half of the room is taken.
--- a/router/src/main/java/ironwind/net/Router.java
+++ b/router/src/main/java/ironwind/net/Router.java
@@ -59,7 +59,12 @@
     /** With another module in the place of {@link Logic}. */
     Router(StartFacts facts, Installation installation, Log log, Function<Outbound, Inbound> module) {
         this.facts = facts;
-        this.limits = installation.idle();
+        // More than there are descriptors for would never meet their limit, and nobody would give way to a newcomer.
+        int most = facts.idleLimits().connections();
+        this.limits = installation.idle().atMost(most);
+        if (installation.idle().connections() > most) {
+            log.warn("connections_cut", "asked", installation.idle().connections(), "most", most);
+        }
         this.module = module;
         this.log = log;
         this.vertx = Vertx.vertx(new VertxOptions().setEventLoopPoolSize(1).setWorkerPoolSize(1)
