Re-read: one linked list for four, the model's bucket at the door, one way to end a client

Need: the change had written the same linked list in Chain, Share, Debtors and Turns, a second token bucket in Keeper, twin endings of a client in error, twin choices of an installation, a flag that owed bytes tell, and conditions that never differ. Change: Line and its places serve all four; Keeper uses Bucket; endWith, Timers.told and Installation.of(facts, file) serve their twins; the load tool's clients change their listener without a wrapper; dead methods and checks are out.

--- a/cli/src/main/java/ironwind/cli/Serve.java
+++ b/cli/src/main/java/ironwind/cli/Serve.java
@@ -27,8 +27,7 @@
     @Override
     public Integer call() throws Exception {
         StartFacts start = StartFacts.read(facts);
-        Installation installation = config == null ? Installation.of(start)
-                : Installation.read(config, start.idleLimits());
+        Installation installation = Installation.of(start, config);
         Log log = new Log(new LibrarySink(form == null ? installation.logForm() : form));
         new Service(facts, start, installation, log).run();
         return 0;
--- a/lab/src/main/java/ironwind/lab/Crowd.java
+++ b/lab/src/main/java/ironwind/lab/Crowd.java
@@ -91,9 +91,7 @@
 
             @Override
             public void ended(LabClient client) {
-                if (!asks || !client.isOpen()) {
-                    end(Answer.CLOSED);
-                }
+                end(Answer.CLOSED);
             }
 
             private void end(Answer answer) {
@@ -124,34 +122,10 @@
     private LabClient connect(LabClient.Listener listener, int receiveBuffer) {
         int address = opened / OF_ONE_ADDRESS;
         InetSocketAddress from = new InetSocketAddress("127." + (16 + number) + ".0." + (1 + address), 0);
-        return LabClient.connect(loop, from, routers.get(opened++ % routers.size()), new Switch(listener),
+        return LabClient.connect(loop, from, routers.get(opened++ % routers.size()), listener,
                 receiveBuffer);
     }
 
-    /** Whoever listens now. */
-    private static final class Switch implements LabClient.Listener {
-        private LabClient.Listener to;
-
-        private Switch(LabClient.Listener first) {
-            to = first;
-        }
-
-        @Override
-        public void greeted(LabClient client) {
-            to.greeted(client);
-        }
-
-        @Override
-        public void answered(LabClient client, Answer answer, long at) {
-            to.answered(client, answer, at);
-        }
-
-        @Override
-        public void ended(LabClient client) {
-            to.ended(client);
-        }
-    }
-
     /** All that are open ask at one time; ends when each is answered, or has been closed. */
     private String wake(long waitsMs) throws InterruptedException {
         Map<Answer, Integer> answers = new EnumMap<>(Answer.class);
@@ -167,7 +141,7 @@
             List<LabClient> awake = clients.stream().filter(LabClient::isFree).toList();
             done[0] = new CountDownLatch(awake.size());
             for (LabClient client : awake) {
-                ((Switch) client.listener()).to = listener;
+                client.listenTo(listener);
                 client.read(id(), "k", waitsMs, 0);
             }
             sentIn[0] = System.nanoTime() - begun;
@@ -188,7 +162,7 @@
                 now += SECOND / SLOW_PER_SECOND;
                 loop.at(now, () -> {
                     if (client.isFree()) {
-                        ((Switch) client.listener()).to = (deaf, answer, at) -> { };
+                        client.listenTo((deaf, answer, at) -> { });
                         client.readDeaf(id(), "big-" + bytes, OPEN_WAITS_MS, AHEAD);
                     }
                 });
--- a/lab/src/main/java/ironwind/lab/LabClient.java
+++ b/lab/src/main/java/ironwind/lab/LabClient.java
@@ -28,7 +28,7 @@
         }
     }
 
-    private final Listener listener;
+    private Listener listener;
     private Link link;
     private Frames frames;
     private boolean greeted;
@@ -51,8 +51,9 @@
         return client;
     }
 
-    Listener listener() {
-        return listener;
+    /** From now on this one hears of it. */
+    void listenTo(Listener next) {
+        listener = next;
     }
 
     boolean isFree() {
@@ -80,10 +81,6 @@
         }
     }
 
-    void close() {
-        link.close();
-    }
-
     @Override
     public void opened(Link up) {
         link = up;
--- a/router/src/main/java/ironwind/boot/Main.java
+++ b/router/src/main/java/ironwind/boot/Main.java
@@ -50,8 +50,7 @@
                 throw new StartFault("ROUTER_CONFIG names no file");
             }
             StartFacts facts = StartFacts.read(Path.of(file));
-            Installation installation = hcl == null ? Installation.of(facts)
-                    : Installation.read(Path.of(hcl), facts.idleLimits());
+            Installation installation = Installation.of(facts, hcl == null ? null : Path.of(hcl));
             if (installation.logForm() != LogForm.PAIRS) {
                 throw new StartFault("log.form: this jar writes pairs only, the ironwind command writes json too");
             }
--- a/router/src/main/java/ironwind/boot/Service.java
+++ b/router/src/main/java/ironwind/boot/Service.java
@@ -1,6 +1,5 @@
 package ironwind.boot;
 
-import ironwind.hcl.HclFault;
 import ironwind.net.Log;
 import ironwind.net.Router;
 import ironwind.start.Installation;
@@ -39,8 +38,7 @@
         try {
             router.reload(StartFacts.read(file));
         } catch (RuntimeException e) {
-            boolean known = e instanceof StartFault || e instanceof HclFault;
-            log.warn("reload_failed", "cause", known ? e.getMessage() : e);
+            log.warn("reload_failed", "cause", e instanceof StartFault ? e.getMessage() : e);
         }
     }
 }
--- a/router/src/main/java/ironwind/idle/Debtors.java
+++ b/router/src/main/java/ironwind/idle/Debtors.java
@@ -7,9 +7,7 @@
 public final class Debtors {
     private final Limits limits;
     private final Budget budget;
-    private Peer first;
-    private Peer last;
-    private int size;
+    private final Line line = new Line();
 
     public Debtors(Limits limits, Budget budget) {
         this.limits = limits;
@@ -20,10 +18,8 @@
     public void owe(Peer peer, int bytes, long now) {
         budget.force(Budget.Use.OWED, bytes);
         peer.owed += bytes;
-        if (!peer.owing && peer.owed > 0) {
-            peer.owing = true;
-            peer.tookAt = now;
-            append(peer);
+        if (peer.amongDebtors == null && peer.owed > 0) {
+            stand(peer, now);
         }
     }
 
@@ -32,16 +28,20 @@
         if (bytes > 0) {
             budget.back(Budget.Use.OWED, bytes);
             peer.owed -= bytes;
-            unlink(peer);
+            line.remove(peer.amongDebtors);
+            peer.amongDebtors = null;
             if (peer.owed > 0) {
-                peer.tookAt = now;
-                append(peer);
-            } else {
-                peer.owing = false;
+                stand(peer, now);
             }
         }
     }
 
+    private void stand(Peer peer, long now) {
+        peer.tookAt = now;
+        peer.amongDebtors = new Line.Place(peer);
+        line.append(peer.amongDebtors);
+    }
+
     /** It is gone, and nothing is owed to it. */
     public void forget(Peer peer) {
         took(peer, peer.owed, 0);
@@ -54,6 +54,7 @@
 
     /** One that is to end, for {@link #whyDue}; null where none is. It is told again until it is forgotten. */
     public Peer due(long now) {
+        Peer first = line.first();
         return first != null && (tooMuch() || now - first.tookAt > limits.slowReaderTime().us()) ? first : null;
     }
 
@@ -66,34 +67,6 @@
     }
 
     public int size() {
-        return size;
-    }
-
-    private void append(Peer peer) {
-        peer.owingBefore = last;
-        peer.owingAfter = null;
-        if (last == null) {
-            first = peer;
-        } else {
-            last.owingAfter = peer;
-        }
-        last = peer;
-        size++;
-    }
-
-    private void unlink(Peer peer) {
-        if (peer.owingBefore == null) {
-            first = peer.owingAfter;
-        } else {
-            peer.owingBefore.owingAfter = peer.owingAfter;
-        }
-        if (peer.owingAfter == null) {
-            last = peer.owingBefore;
-        } else {
-            peer.owingAfter.owingBefore = peer.owingBefore;
-        }
-        peer.owingBefore = null;
-        peer.owingAfter = null;
-        size--;
+        return line.size();
     }
 }
--- a/router/src/main/java/ironwind/idle/Keeper.java
+++ b/router/src/main/java/ironwind/idle/Keeper.java
@@ -1,5 +1,6 @@
 package ironwind.idle;
 
+import ironwind.model.Bucket;
 import ironwind.model.Span;
 import java.util.EnumMap;
 import java.util.HashMap;
@@ -24,12 +25,12 @@
     private final Map<Object, Share> addresses = new HashMap<>();
     private final Map<Object, Share> customers = new HashMap<>();
     private int inside;
-    private double tokens;
+    private final Bucket newcomers;
     private long filledAt;
 
     public Keeper(Limits limits) {
         this.limits = limits;
-        this.tokens = limits.newAtOnce();
+        this.newcomers = new Bucket(limits.newAtOnce());
         for (Standing standing : Standing.values()) {
             chains.put(standing, new Chain(standing));
         }
@@ -43,19 +44,19 @@
     /** Whether one more may be taken from the system's queue now. */
     public boolean opens(long now) {
         fill(now);
-        return limits.newPerSecond() == 0 || tokens >= 1;
+        return limits.newPerSecond() == 0 || !newcomers.empty();
     }
 
     /** How long until then; at least a millisecond. */
     public Span opensIn(long now) {
         fill(now);
-        double seconds = Math.max(0, 1 - tokens) / Math.max(1, limits.newPerSecond());
+        double seconds = newcomers.missing() / Math.max(1, limits.newPerSecond());
         return new Span((long) (seconds * MILLION)).longer(Span.ofMillis(1));
     }
 
     private void fill(long now) {
         double gained = (now - filledAt) / MILLION * limits.newPerSecond();
-        tokens = Math.min(Math.max(1, limits.newAtOnce()), tokens + gained);
+        newcomers.fill(gained, Math.max(1, limits.newAtOnce()));
         filledAt = now;
     }
 
@@ -74,11 +75,11 @@
     /** Lets one in. */
     public void enter(Peer peer, Object address, long now) {
         fill(now);
-        tokens -= limits.newPerSecond() == 0 ? 0 : 1;
+        newcomers.take();
         peer.address = addresses.computeIfAbsent(address, Share::new);
         peer.address.connections++;
         inside++;
-        chain(Standing.STRANGER).append(peer, now);
+        chain(Standing.STRANGER).enter(peer, now);
     }
 
     /** Who has to give way before one more comes in; null where nobody has to or can. */
@@ -86,7 +87,8 @@
         return inside >= limits.connections() ? leastKnown() : null;
     }
 
-    private Peer leastKnown() {
+    /** Who may be let go between two requests, least known first; null where nobody is left that carries nothing. */
+    public Peer leastKnown() {
         for (Standing standing : GIVING_WAY) {
             Peer first = chain(standing).first();
             if (first != null) {
@@ -103,13 +105,12 @@
         if (peer.chain == null) {
             return;
         }
-        peer.chain.remove(peer);
-        chain(standing).append(peer, now);
-        if (peer.customer != null) {
-            peer.customer.remove(peer);
-            if (standing == Standing.SERVED) {
-                peer.customer.append(peer);
-            }
+        peer.chain.leave(peer);
+        chain(standing).enter(peer, now);
+        leaveIdle(peer);
+        if (peer.customer != null && standing == Standing.SERVED) {
+            peer.amongIdle = new Line.Place(peer);
+            peer.customer.idle.append(peer.amongIdle);
         }
     }
 
@@ -132,13 +133,20 @@
             }
         }
         boolean over = share != null && share.connections > limits.perCustomer();
-        return over ? share.longestIdle() : null;
+        return over ? share.idle.first() : null;
+    }
+
+    private void leaveIdle(Peer peer) {
+        if (peer.amongIdle != null) {
+            peer.customer.idle.remove(peer.amongIdle);
+            peer.amongIdle = null;
+        }
     }
 
     private void leaveCustomer(Peer peer) {
+        leaveIdle(peer);
         Share share = peer.customer;
         if (share != null) {
-            share.remove(peer);
             share.connections--;
             if (share.connections == 0) {
                 customers.remove(share.key);
@@ -152,7 +160,7 @@
         if (peer.chain == null) {
             return;
         }
-        peer.chain.remove(peer);
+        peer.chain.leave(peer);
         leaveCustomer(peer);
         peer.address.connections--;
         if (peer.address.connections == 0) {
@@ -192,11 +200,6 @@
         };
     }
 
-    /** One that may be let go between two requests, least known first; null where none is left that carries nothing. */
-    public Peer next() {
-        return leastKnown();
-    }
-
     // ---- figures
 
     public Reason count(Reason reason) {
--- a/router/src/main/java/ironwind/idle/Peer.java
+++ b/router/src/main/java/ironwind/idle/Peer.java
@@ -1,26 +1,20 @@
 package ironwind.idle;
 
 /**
- * What is kept of one connection: links and numbers in the object itself, so that an idle connection has no list,
- * map or timer of its own. Whoever does its I/O extends it.
+ * What is kept of one connection: places in lines, and numbers, so that an idle connection has no list, map or timer of
+ * its own. Whoever does its I/O extends it.
  */
 public abstract class Peer {
-    /** Links of the chain of its standing. */
-    Peer before;
-    Peer after;
+    /** Its standing, and its place there. */
     Chain chain;
-    /** Links of the chain of its customer; only while it is served and idle. */
-    Peer customersBefore;
-    Peer customersAfter;
-    Share customer;
+    final Line.Place inChain = new Line.Place(this);
     Share address;
-    /** Links of the chain of those that are owed something. */
-    Peer owingBefore;
-    Peer owingAfter;
-    boolean owing;
-    /** The next that waits for its turn to be read. */
-    Peer nextTurn;
-    boolean waitsForTurn;
+    Share customer;
+    /** Among its customer's idle ones, while it is served and idle; null otherwise. */
+    Line.Place amongIdle;
+    /** Among those that are owed something, and among those that wait to be read; null where it is not. */
+    Line.Place amongDebtors;
+    Line.Place amongWaiting;
     /** Steady microseconds: when it came to its standing, took of what it is owed, began to wait for its turn. */
     long since;
     long tookAt;
--- a/router/src/main/java/ironwind/idle/Turns.java
+++ b/router/src/main/java/ironwind/idle/Turns.java
@@ -11,9 +11,7 @@
 public final class Turns {
     private final Limits limits;
     private final Budget budget;
-    private Peer first;
-    private Peer last;
-    private int waiting;
+    private final Line line = new Line();
     private int mostWaiting;
     private long turnEnds;
     private long deferred;
@@ -31,7 +29,7 @@
 
     /** Whether one that has something to say is read at once; else it waits, and is told by {@link #next}. */
     public boolean atOnce(Peer peer, long now, int openRpcs) {
-        if (peer.waitsForTurn) {
+        if (waits(peer)) {
             return false;
         }
         // What has begun ends: a message of which a part is held, an answer that a second command came behind.
@@ -39,21 +37,14 @@
         if (now >= turnEnds + limits.turnTime().us()) {
             begin(now);
         }
-        if (begun || isActive(peer, now) || waiting == 0 && now < turnEnds && hasRoom(openRpcs)) {
+        if (begun || isActive(peer, now) || !anyWaits() && now < turnEnds && hasRoom(openRpcs)) {
             return true;
         }
-        peer.waitsForTurn = true;
         peer.waitsSince = now;
-        peer.nextTurn = null;
-        if (last == null) {
-            first = peer;
-        } else {
-            last.nextTurn = peer;
-        }
-        last = peer;
-        waiting++;
+        peer.amongWaiting = new Line.Place(peer);
+        line.append(peer.amongWaiting);
         deferred++;
-        mostWaiting = Math.max(mostWaiting, waiting);
+        mostWaiting = Math.max(mostWaiting, line.size());
         return false;
     }
 
@@ -63,10 +54,10 @@
 
     /** The next to be read in this turn; null where the turn is over or none may be. Skips those that have left. */
     public Peer next(long now, int openRpcs) {
-        while (first != null && first.standing() == null) {
+        while (anyWaits() && line.first().standing() == null) {
             pop();
         }
-        if (first == null || now >= turnEnds || !hasRoom(openRpcs) && !late(now)) {
+        if (now >= turnEnds || !hasTurn(now, openRpcs)) {
             return null;
         }
         if (late(now)) {
@@ -76,24 +67,19 @@
     }
 
     private Peer pop() {
-        Peer peer = first;
-        first = peer.nextTurn;
-        if (first == null) {
-            last = null;
-        }
-        peer.nextTurn = null;
-        peer.waitsForTurn = false;
-        waiting--;
+        Peer peer = line.first();
+        line.remove(peer.amongWaiting);
+        peer.amongWaiting = null;
         return peer;
     }
 
-    /** Whether one would be read in a new turn: else there is nothing to do until an RPC or some memory is free. */
+    /** Whether one would be read in a new turn: else there is nothing to do until an RPC has ended. */
     public boolean hasTurn(long now, int openRpcs) {
-        return first != null && (hasRoom(openRpcs) || late(now));
+        return anyWaits() && (hasRoom(openRpcs) || late(now));
     }
 
     public boolean waits(Peer peer) {
-        return peer.waitsForTurn;
+        return peer.amongWaiting != null;
     }
 
     private boolean hasRoom(int openRpcs) {
@@ -101,7 +87,7 @@
     }
 
     private boolean late(long now) {
-        return now - first.waitsSince > limits.crowdTime().us();
+        return now - line.first().waitsSince > limits.crowdTime().us();
     }
 
     /** How long it had something to say before it is read now. */
@@ -120,11 +106,11 @@
     }
 
     public boolean anyWaits() {
-        return first != null;
+        return line.first() != null;
     }
 
     public int waiting() {
-        return waiting;
+        return line.size();
     }
 
     public int mostWaiting() {
--- a/router/src/main/java/ironwind/model/Bucket.java
+++ b/router/src/main/java/ironwind/model/Bucket.java
@@ -19,6 +19,11 @@
         return enough;
     }
 
+    /** The part of a token that is missing to a whole one. */
+    public double missing() {
+        return Math.max(0, 1 - tokens);
+    }
+
     public boolean empty() {
         return tokens < 1;
     }
--- a/router/src/main/java/ironwind/net/ClientConnection.java
+++ b/router/src/main/java/ironwind/net/ClientConnection.java
@@ -178,22 +178,20 @@
 
     /** The connection ends in an error, after the answers that are owed before it. */
     void fail(PgFault fault) {
-        if (closed || closing == Ending.CLIENT_MALFORMED) {
-            return;
-        }
-        closing = Ending.CLIENT_MALFORMED;
-        drop();
-        refuse(fault, Encoder::fatal);
-        settle();
+        endWith(() -> refuse(fault, Encoder::fatal));
     }
 
     /** The same for a reason of ours; {@code comeBack} tells when another try makes sense. */
     void turnAway(Reason reason, Span comeBack) {
+        Failure failure = new Failure(reason.code, reason.words, Timers.told(comeBack));
+        endWith(() -> add(null, 0).answer(Encoder.fatal(failure)));
+    }
+
+    private void endWith(Runnable error) {
         if (!closed && closing != Ending.CLIENT_MALFORMED) {
             closing = Ending.CLIENT_MALFORMED;
             drop();
-            String wait = comeBack.us() > 0 ? Long.toString(Timers.millis(comeBack)) : null;
-            add(null, 0).answer(Encoder.fatal(new Failure(reason.code, reason.words, wait)));
+            error.run();
             settle();
         }
     }
--- a/router/src/main/java/ironwind/net/ClientSocket.java
+++ b/router/src/main/java/ironwind/net/ClientSocket.java
@@ -22,7 +22,7 @@
  */
 final class ClientSocket extends NioSelectableChannelIoHandle<SocketChannel> {
     /** Of one turn, what is read from one client at most. */
-    static final int BUFFER_BYTES = 64 * 1024;
+    private static final int BUFFER_BYTES = 64 * 1024;
     private static final int CHUNK_BYTES = Buffers.PAGE_BYTES << Buffers.PAGES_AS_POWER;
 
     /** What happens on it. */
--- a/router/src/main/java/ironwind/net/Clients.java
+++ b/router/src/main/java/ironwind/net/Clients.java
@@ -342,9 +342,7 @@
             exchange.lent = 0;
             logic.left(exchange);
         }
-        if (door != null) {
-            door.look();
-        }
+        door.look();
         if (dismissing && keeper.inside() == 0) {
             whenGone.run();
         }
@@ -422,14 +420,14 @@
 
     /** Some at a time, so that those who still ask are served meanwhile; the busy end with their last answer. */
     private void dismissSome() {
-        Peer next = keeper.next();
+        Peer next = keeper.leastKnown();
         for (int i = 0; i < ENDED_AT_ONCE && next != null && keeper.inside() > 0; i++) {
             if (next.standing() == Standing.PARTING) {
                 ((ClientConnection) next).cut();
             } else {
                 ((ClientConnection) next).dismiss();
             }
-            next = keeper.next();
+            next = keeper.leastKnown();
         }
         if (next != null) {
             soon(this::dismissSome);
--- a/router/src/main/java/ironwind/net/Door.java
+++ b/router/src/main/java/ironwind/net/Door.java
@@ -8,6 +8,7 @@
 import ironwind.start.Address;
 import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.net.StandardSocketOptions;
 import java.nio.channels.SelectionKey;
 import java.nio.channels.ServerSocketChannel;
 import java.nio.channels.SocketChannel;
@@ -55,7 +56,7 @@
         ServerSocketChannel channel = ServerSocketChannel.open();
         try {
             channel.configureBlocking(false);
-            channel.setOption(java.net.StandardSocketOptions.SO_REUSEADDR, true);
+            channel.setOption(StandardSocketOptions.SO_REUSEADDR, true);
             channel.bind(new InetSocketAddress(at.ip(), at.port()), QUEUE);
         } catch (IOException taken) {
             channel.close();
--- a/router/src/main/java/ironwind/net/LogicTask.java
+++ b/router/src/main/java/ironwind/net/LogicTask.java
@@ -247,8 +247,8 @@
 
     @Override
     public void pushBack(Rpc rpc, Span comeBackAfter) {
-        String wait = comeBackAfter.us() > 0 ? Long.toString(Timers.millis(comeBackAfter)) : null;
-        answer(rpc, Count.PUSHED_BACK, new Failure(PUSHED_BACK.code(), PUSHED_BACK.message(), wait));
+        answer(rpc, Count.PUSHED_BACK,
+                new Failure(PUSHED_BACK.code(), PUSHED_BACK.message(), Timers.told(comeBackAfter)));
     }
 
     @Override
--- a/router/src/main/java/ironwind/net/Timers.java
+++ b/router/src/main/java/ironwind/net/Timers.java
@@ -26,6 +26,11 @@
         vertx.setPeriodic(millis(span), timer -> action.run());
     }
 
+    /** A time to come back after, as an error's detail tells it; null for none. */
+    static String told(Span comeBackAfter) {
+        return comeBackAfter.us() > 0 ? Long.toString(millis(comeBackAfter)) : null;
+    }
+
     /** Whole milliseconds, rounded up, one at least. */
     static int millis(Span span) {
         return (int) Math.max(1, (span.us() + 999) / 1_000);
--- a/router/src/main/java/ironwind/start/Installation.java
+++ b/router/src/main/java/ironwind/start/Installation.java
@@ -22,6 +22,11 @@
         return new Installation(facts.idleLimits(), LogForm.PAIRS);
     }
 
+    /** As the file says; null for none. */
+    public static Installation of(StartFacts facts, Path file) {
+        return file == null ? of(facts) : read(file, facts.idleLimits());
+    }
+
     /** Reads a file whole or not at all; an {@link ironwind.hcl.HclFault} tells all that is wrong with it. */
     public static Installation read(Path file, Limits otherwise) {
         Complaints complaints = new Complaints(file.toString());
--- a/router/src/test/java/ironwind/idle/KeeperTest.java
+++ b/router/src/test/java/ironwind/idle/KeeperTest.java
@@ -131,8 +131,7 @@
 
     /** It counts as idle for its customer once it has come to be served on the customer's behalf. */
     private boolean stoodAsCustomers(Known known) {
-        return known.peer.customersBefore != null || known.peer.customer != null
-                && known.peer.customer.longestIdle() == known.peer;
+        return known.peer.amongIdle != null;
     }
 
     private Known leastKnown() {
