--- a/router/src/main/java/ironwind/Logic.java
+++ b/router/src/main/java/ironwind/Logic.java
@@ -676,12 +676,16 @@
         boolean unseen = rpc.callOuts.isEmpty() && !waited.shorterThan(early);
         boolean useless = method.lateUtility() < LATE_HOLD * method.utility() && !waited.shorterThan(use);
         boolean shed = rpc.overShare && waited.over(method.softDeadline()) > SHED_OVER_SHARE;
-        boolean lastCall = !now.before(rpc.deadline.minus(deployment.tick().times(2)));
-        if (lastCall || unseen || useless || shed && mayPushBack(rpc)) {
+        if (lastCall(rpc) || unseen || useless || shed && mayPushBack(rpc)) {
             step(rpc, Input.HOPELESS);
         }
     }
 
+    /** Guards against a look that comes late: what is held is answered by its deadline, whenever the look is due. */
+    private boolean lastCall(Rpc rpc) {
+        return !now.before(rpc.deadline.minus(deployment.tick().times(2)));
+    }
+
     // ---- the ordinary path
 
     /** The position a read must be answered from, if sent at this time. */
@@ -946,7 +950,7 @@
             nextProbes = now.plus(PROBE_EVERY);
             probeAround();
         }
-        if ((due || stirred) && !held.isEmpty()) {
+        if ((due || stirred || held.stream().anyMatch(this::lastCall)) && !held.isEmpty()) {
             placeHeld();
         }
         stirred = false;
--- a/router/src/main/java/ironwind/net/ClientConnection.java
+++ b/router/src/main/java/ironwind/net/ClientConnection.java
@@ -32,6 +32,8 @@
     private Exchange first;
     private Exchange last;
     private int ahead;
+    /** How long it may have waited to be let in, in milliseconds, and its first command with it. */
+    private int waitedMs;
     private boolean started;
     private boolean served;
     private boolean skipping;
@@ -41,8 +43,9 @@
     private boolean parting;
     private boolean closed;
 
-    ClientConnection(SocketChannel channel, Clients clients) {
+    ClientConnection(SocketChannel channel, Clients clients, Span waited) {
         this.clients = clients;
+        this.waitedMs = Timers.toMillis(waited);
         this.socket = new ClientSocket(channel, clients.buffers, this);
     }
 
@@ -160,6 +163,13 @@
         }
     }
 
+    /** How long a command that was read while the loop lagged so much may have lain there. */
+    Span lay(Span lag) {
+        Span lay = lag.plus(Span.ofMillis(waitedMs));
+        waitedMs = 0;
+        return lay;
+    }
+
     private void command(String sql) {
         try {
             clients.command(this, sql);
--- a/router/src/main/java/ironwind/net/Clients.java
+++ b/router/src/main/java/ironwind/net/Clients.java
@@ -41,6 +41,8 @@
     private static final Span LOOK_EVERY = Span.ofMillis(100);
     /** A step of the steady time is no longer: what took longer was a pause of the process. */
     private static final Span LONGEST_STEP = Span.ofMillis(500);
+    /** The loop looked at no socket for so long: told in the log. */
+    private static final Span STOOD_STILL = Span.ofMillis(200);
     /** Ended one after another before others are served again. */
     private static final int ENDED_AT_ONCE = 256;
     /** Those that spoke in the very moment in which they were to give way. */
@@ -69,6 +71,7 @@
     private final Show show;
     /** Empty queries that wait until the router is ready. */
     private final List<Exchange> askedWhetherReady = new ArrayList<>();
+    private LoopLag lag;
     private Door door;
     private Rehearsal rehearsal;
     private boolean turnDue;
@@ -96,6 +99,7 @@
     void listen() throws IOException {
         door = Door.open(loop, facts.listen(), this, timers,
                 none -> log.warn("no_descriptor", "open", keeper.inside(), "cause", none.getMessage()));
+        lag = new LoopLag(LOOK_EVERY, Clock.read());
         timers.every(LOOK_EVERY, this::look);
     }
 
@@ -154,7 +158,7 @@
         }
         makeRoom();
         Reason refusal = keeper.refusal(address);
-        ClientConnection client = new ClientConnection(channel, this);
+        ClientConnection client = new ClientConnection(channel, this, lag.at(Clock.read()));
         keeper.enter(client, address, now());
         client.begin();
         if (refusal != null) {
@@ -195,6 +199,11 @@
     // ---- whose time is out
 
     private void look() {
+        Span stood = lag.at(Clock.read());
+        if (stood.longerThan(STOOD_STILL)) {
+            log.warn("loop_stood", "ms", stood.us() / 1_000, "ready", ready);
+        }
+        lag.beat(Clock.read());
         endDue();
         endDebtors(now());
         logic.memoryFreed();
@@ -390,7 +399,7 @@
         }
         long after = statement.facts().containsKey("after") ? statement.needWhole("after", 0, LONGEST_MS) : 0;
         int bytes = OPEN_RPC_BYTES + 2 * statement.text().length();
-        Span waited = turns.waited(client, now());
+        Span waited = turns.waited(client, now()).longer(client.lay(lag.at(Clock.read())));
         LogicTask.Asked asked = new LogicTask.Asked(statement.need("id"), method, customer,
                 (int) statement.needWhole("cluster", 0, Integer.MAX_VALUE), statement.key(), waits, after,
                 "1".equals(statement.facts().get("r")), waited, turns.pushesBack(waited, bytes));
--- a/router/src/main/java/ironwind/net/LogicTask.java
+++ b/router/src/main/java/ironwind/net/LogicTask.java
@@ -160,7 +160,7 @@
             rpc.roomless = asked.roomless;
             exchange.rpc = rpc;
             exchanges.put(rpc, exchange);
-            Span longest = rpc.deadline.plus(answerSlack).since(time);
+            Span longest = rpc.deadline.plus(answerSlack).since(Clock.read());
             exchange.guard = timers.after(longest, () -> put(exchange, due -> overdue(due, exchange)));
             logic.arrived(time, rpc);
         });
@@ -234,7 +234,7 @@
         Moment until = limit.us() > 0 ? callOut.rpc.deadline.earlier(now.plus(limit)) : callOut.rpc.deadline;
         Sending sending = new Sending(this, callOut, exchanges.get(callOut.rpc));
         sendings.put(callOut, sending);
-        sending.begin(hosts, now, timers.after(until.since(now), () -> sending.giveUp(Ending.TIMED_OUT)));
+        sending.begin(hosts, now, timers.after(until.since(Clock.read()), () -> sending.giveUp(Ending.TIMED_OUT)));
     }
 
     @Override
--- a/router/src/main/java/ironwind/net/Router.java
+++ b/router/src/main/java/ironwind/net/Router.java
@@ -86,35 +86,41 @@
             discovery = new Discovery(vertx, facts, logic, hosts, counters, log);
             IoEventLoop loop = (IoEventLoop) ((ContextInternal) context).nettyEventLoop();
             clients = new Clients(loop, timers, facts, limits, budget, facts.mostOfClients(), logic, counters, log);
-            Promise<Void> rehearsed = Promise.promise();
             Promise<Void> heard = Promise.promise();
-            try {
-                clients.listen();
-            } catch (IOException taken) {
-                started.fail(taken);
-                return;
-            }
-            if (rehearses) {
-                int most = Math.max(1, facts.mostOfClients() / 4);
-                clients.rehearse(new Rehearsal(vertx, context, facts, module, most, played -> {
-                    log.info("rehearsed", "rpcs", played);
-                    rehearsed.tryComplete();
-                }));
-            } else {
-                rehearsed.complete();
-            }
-            started.complete();
+            // Before the door opens: what a client writes to a loop that is still loading code would lie there.
             discovery.start(facts.knownHosts(), heard::tryComplete);
             vertx.setTimer(FIRST_LIST_MS, timer -> heard.tryComplete());
-            Future.all(rehearsed.future(), heard.future()).onSuccess(both -> {
-                clients.ready();
-                log.info("ready", "name", facts.name());
-            });
+            context.runOnContext(later -> open(started, heard.future()));
         });
         return started.future().onSuccess(nothing ->
                 log.info("listening", "name", facts.name(), "address", facts.listen().ip() + ":" + clients.port()));
     }
 
+    private void open(Promise<Void> started, Future<Void> heard) {
+        Promise<Void> rehearsed = Promise.promise();
+        try {
+            clients.listen();
+        } catch (IOException taken) {
+            discovery.stop();
+            started.fail(taken);
+            return;
+        }
+        if (rehearses) {
+            int most = Math.max(1, facts.mostOfClients() / 4);
+            clients.rehearse(new Rehearsal(vertx, context, facts, module, most, played -> {
+                log.info("rehearsed", "rpcs", played);
+                rehearsed.tryComplete();
+            }));
+        } else {
+            rehearsed.complete();
+        }
+        started.complete();
+        Future.all(rehearsed.future(), heard).onSuccess(both -> {
+            clients.ready();
+            log.info("ready", "name", facts.name());
+        });
+    }
+
     /** Ready as soon as it has heard the list: for embedders whose code is warm already. */
     public Router unrehearsed() {
         rehearses = false;
--- a/router/src/test/java/ironwind/LogicTest.java
+++ b/router/src/test/java/ironwind/LogicTest.java
@@ -459,4 +459,18 @@
         scene.pass(most - least);
         assertThat(scene.asked).contains("push back " + rpc.id);
     }
+
+    /** Guards against a look that is not due yet at the last moment of a held RPC: it was answered by a guard, late. */
+    @ParameterizedTest(name = "a client that waits {0} ms")
+    @CsvSource({"300", "303", "306", "309"})
+    void whatIsHeldIsAnsweredAtItsLastMomentWhetherALookIsDueOrNot(long waits) {
+        Scene scene = scene(HostChecks.NONE).list(true, "b");
+        Rpc write = scene.arrive(Scene.WRITE, 0, waits);
+        scene.end(write, Outcome.MISS, Role.REPLICA, -1).pass(waits - 11);
+        assertThat(write.stage).isEqualTo(Stage.HELD);
+        scene.pass(1);
+        scene.logic.settle(scene.now());
+        assertThat(write.stage).isEqualTo(Stage.OVER);
+        assertThat(scene.asked).endsWith("push back " + write.id);
+    }
 }
