--- a/router/src/main/java/ironwind/Logic.java
+++ b/router/src/main/java/ironwind/Logic.java
@@ -686,6 +686,15 @@
         return !now.before(rpc.deadline.minus(deployment.tick().times(2)));
     }
 
+    private boolean anyAtLastCall() {
+        for (Rpc rpc : held) {
+            if (lastCall(rpc)) {
+                return true;
+            }
+        }
+        return false;
+    }
+
     // ---- the ordinary path
 
     /** The position a read must be answered from, if sent at this time. */
@@ -950,7 +959,7 @@
             nextProbes = now.plus(PROBE_EVERY);
             probeAround();
         }
-        if ((due || stirred || held.stream().anyMatch(this::lastCall)) && !held.isEmpty()) {
+        if ((due || stirred || anyAtLastCall()) && !held.isEmpty()) {
             placeHeld();
         }
         stirred = false;
