A wait behind a standing loop is no wait in a crowd: served, not pushed back

Found on re-reading: the loop's lag went into Turns.pushesBack, so that each RPC read behind a stand of over 250 ms, as at every start, was pushed back unserved ('E53300 250'; the new test was seen to fail so). Only its deadline is to follow from the lag, as was meant. Simpler: a connection keeps the span it waited instead of milliseconds, which frees Timers of a second rounding; look reads the clock once; the lag's start is read before the door opens; the guard's comment stands at the check it explains.

--- a/router/src/main/java/ironwind/Logic.java
+++ b/router/src/main/java/ironwind/Logic.java
@@ -681,11 +681,11 @@
         }
     }
 
-    /** Guards against a look that comes late: what is held is answered by its deadline, whenever the look is due. */
     private boolean lastCall(Rpc rpc) {
         return !now.before(rpc.deadline.minus(deployment.tick().times(2)));
     }
 
+    /** Guards against a look that comes late: what is held is answered by its deadline, whenever the look is due. */
     private boolean anyAtLastCall() {
         for (Rpc rpc : held) {
             if (lastCall(rpc)) {
--- a/router/src/main/java/ironwind/net/ClientConnection.java
+++ b/router/src/main/java/ironwind/net/ClientConnection.java
@@ -32,8 +32,8 @@
     private Exchange first;
     private Exchange last;
     private int ahead;
-    /** How long it may have waited to be let in, in milliseconds, and its first command with it. */
-    private int waitedMs;
+    /** How long it may have waited to be let in, and its first command with it. */
+    private Span waited;
     private boolean started;
     private boolean served;
     private boolean skipping;
@@ -45,7 +45,7 @@
 
     ClientConnection(SocketChannel channel, Clients clients, Span waited) {
         this.clients = clients;
-        this.waitedMs = Timers.toMillis(waited);
+        this.waited = waited;
         this.socket = new ClientSocket(channel, clients.buffers, this);
     }
 
@@ -165,8 +165,8 @@
 
     /** How long a command that was read while the loop lagged so much may have lain there. */
     Span lay(Span lag) {
-        Span lay = lag.plus(Span.ofMillis(waitedMs));
-        waitedMs = 0;
+        Span lay = lag.plus(waited);
+        waited = Span.ZERO;
         return lay;
     }
 
--- a/router/src/main/java/ironwind/net/Clients.java
+++ b/router/src/main/java/ironwind/net/Clients.java
@@ -14,6 +14,7 @@
 import ironwind.model.Customer;
 import ironwind.model.Effect;
 import ironwind.model.Method;
+import ironwind.model.Moment;
 import ironwind.model.Span;
 import ironwind.net.Counters.Count;
 import ironwind.pg.Encoder;
@@ -97,9 +98,9 @@
     }
 
     void listen() throws IOException {
+        lag = new LoopLag(LOOK_EVERY, Clock.read());
         door = Door.open(loop, facts.listen(), this, timers,
                 none -> log.warn("no_descriptor", "open", keeper.inside(), "cause", none.getMessage()));
-        lag = new LoopLag(LOOK_EVERY, Clock.read());
         timers.every(LOOK_EVERY, this::look);
     }
 
@@ -199,11 +200,12 @@
     // ---- whose time is out
 
     private void look() {
-        Span stood = lag.at(Clock.read());
+        Moment time = Clock.read();
+        Span stood = lag.at(time);
         if (stood.longerThan(STOOD_STILL)) {
             log.warn("loop_stood", "ms", stood.us() / 1_000, "ready", ready);
         }
-        lag.beat(Clock.read());
+        lag.beat(time);
         endDue();
         endDebtors(now());
         logic.memoryFreed();
@@ -399,10 +401,11 @@
         }
         long after = statement.facts().containsKey("after") ? statement.needWhole("after", 0, LONGEST_MS) : 0;
         int bytes = OPEN_RPC_BYTES + 2 * statement.text().length();
-        Span waited = turns.waited(client, now()).longer(client.lay(lag.at(Clock.read())));
+        Span waited = turns.waited(client, now());
+        Span lay = waited.longer(client.lay(lag.at(Clock.read())));
         LogicTask.Asked asked = new LogicTask.Asked(statement.need("id"), method, customer,
                 (int) statement.needWhole("cluster", 0, Integer.MAX_VALUE), statement.key(), waits, after,
-                "1".equals(statement.facts().get("r")), waited, turns.pushesBack(waited, bytes));
+                "1".equals(statement.facts().get("r")), lay, turns.pushesBack(waited, bytes));
         logic.check(asked);
         budget.force(Use.OPEN, bytes);
         logic.arrived(client.add(statement, bytes), asked);
--- a/router/src/main/java/ironwind/net/Timers.java
+++ b/router/src/main/java/ironwind/net/Timers.java
@@ -31,13 +31,8 @@
         return comeBackAfter.us() > 0 ? Long.toString(millis(comeBackAfter)) : null;
     }
 
-    /** Whole milliseconds, rounded up. */
-    static int toMillis(Span span) {
-        return (int) ((span.us() + 999) / 1_000);
-    }
-
     /** Whole milliseconds, rounded up, one at least. */
     static int millis(Span span) {
-        return Math.max(1, toMillis(span));
+        return (int) Math.max(1, (span.us() + 999) / 1_000);
     }
 }
--- a/router/src/test/java/ironwind/net/RouterTest.java
+++ b/router/src/test/java/ironwind/net/RouterTest.java
@@ -6,6 +6,7 @@
 import io.vertx.core.Future;
 import io.vertx.core.json.JsonArray;
 import io.vertx.core.json.JsonObject;
+import ironwind.Logic;
 import ironwind.model.Group;
 import ironwind.model.Inbound;
 import ironwind.model.Span;
@@ -474,6 +475,31 @@
         assertThat(log.toString()).containsOnlyOnce("ERROR fault").contains(told, "at=ironwind");
     }
 
+    /** Guards against a wait behind a loop that stood still being taken for one in a crowd: nothing else is held up. */
+    @Test
+    void whatWasReadBehindALoopThatStoodStillIsServedInWhatIsLeftOfItsTime() throws Exception {
+        CountDownLatch stands = new CountDownLatch(1);
+        begin(new Router(facts, new Log(new PrintStream(log, true)), outbound -> {
+            Inbound logic = new Logic(facts.deployment(), facts.seed(), outbound);
+            return (Inbound) Proxy.newProxyInstance(getClass().getClassLoader(), new Class<?>[] {Inbound.class},
+                    (proxy, method, arguments) -> {
+                        if (method.getName().equals("arrived") && stands.getCount() > 0) {
+                            stands.countDown();
+                            Thread.sleep(600);
+                        }
+                        return method.invoke(logic, arguments);
+                    });
+        }).unrehearsed());
+        Wire first = client();
+        Wire second = admitted();
+        first.send(ask(READ, 1_900));
+        stands.await();
+        second.send(ask(READ, 1_900));
+        assertThat(first.answer()).isEqualTo("TDCZ");
+        assertThat(second.answer()).isEqualTo("TDCZ");
+        assertThat(log.toString()).contains("loop_stood");
+    }
+
     /** One end of a connection, read message by message. */
     private static final class Wire implements AutoCloseable {
         private final Socket socket;
