A drain answers what was taken before it: six RPCs were lost with their routers

Five routers ended 3.56 s after "draining" with one RPC of their counters unanswered (n31, n17, n57, n79) or two (n15); all others ended by themselves and with none. 3.56 s is the drain's last timer (untilKilled 3,700 ms less 150).

Ruled out: RPCs read late (no loop_stood at these), clients cut while they asked (dismissed ones are answered first). At fault: LogicTask.endBy set the last moment only for RPCs still to come, in arrived(); what was taken before SIGTERM kept a deadline of up to 3.6 s there, beyond the end of the process.

Mend: endBy moves the deadline of all open RPCs, their guards, and ends their call-outs at the last moment. The new test fails without it where the call-out is out (" closed" instead of E40003).

--- a/router/src/main/java/ironwind/model/Rpc.java
+++ b/router/src/main/java/ironwind/model/Rpc.java
@@ -11,7 +11,8 @@
     public final Group group;
     public final String session;
     public final Moment arrived;
-    public final Moment deadline;
+    /** Its client's, or sooner where the router itself ends. */
+    public Moment deadline;
     /** The position a session read must see; {@link Moment#NEVER} for none. */
     public final Moment token;
     public final boolean repeat;
--- a/router/src/main/java/ironwind/net/LogicTask.java
+++ b/router/src/main/java/ironwind/net/LogicTask.java
@@ -57,9 +57,19 @@
     private Moment lastAnswer = FAR;
     private Moment now = Moment.NEVER;
 
-    /** From now on no RPC is taken for longer than up to this moment. */
+    /**
+     * No RPC is held for longer than up to this moment, those included that were taken before and whose clients would
+     * wait longer: the process is killed soon after, and what is unanswered then is lost.
+     */
     void endBy(Span fromNow) {
         lastAnswer = Clock.read().plus(fromNow);
+        for (Exchange exchange : List.copyOf(openIds.values())) {
+            if (exchange.rpc != null && exchange.rpc.deadline.after(lastAnswer)) {
+                exchange.rpc.deadline = lastAnswer;
+                watch(exchange);
+            }
+        }
+        timers.after(fromNow, () -> List.copyOf(sendings.values()).forEach(sending -> sending.giveUp(Ending.TIMED_OUT)));
     }
 
     /**
@@ -160,12 +170,19 @@
             rpc.roomless = asked.roomless;
             exchange.rpc = rpc;
             exchanges.put(rpc, exchange);
-            Span longest = rpc.deadline.plus(answerSlack).since(Clock.read());
-            exchange.guard = timers.after(longest, () -> put(exchange, due -> overdue(due, exchange)));
+            watch(exchange);
             logic.arrived(time, rpc);
         });
     }
 
+    private void watch(Exchange exchange) {
+        Span longest = exchange.rpc.deadline.plus(answerSlack).since(Clock.read());
+        if (exchange.guard != null) {
+            exchange.guard.cancel();
+        }
+        exchange.guard = timers.after(longest, () -> put(exchange, due -> overdue(due, exchange)));
+    }
+
     /** Guards against a defect that leaves an RPC without its answer: the module always answers before this. */
     private void overdue(Moment time, Exchange exchange) {
         logic.settle(time);
--- a/router/src/test/java/ironwind/net/RouterTest.java
+++ b/router/src/test/java/ironwind/net/RouterTest.java
@@ -133,7 +133,9 @@
 
     @AfterEach
     void stop() throws Exception {
-        router.stop().await(10, TimeUnit.SECONDS);
+        if (router != null) {
+            router.stop().await(10, TimeUnit.SECONDS);
+        }
         for (AutoCloseable each : opened) {
             each.close();
         }
@@ -442,6 +444,24 @@
         drained.await(10, TimeUnit.SECONDS);
     }
 
+    /**
+     * Guards against an RPC that was taken before the end was asked for, and whose client waits longer than the
+     * process may live: it was lost with the process, where its call-out was out as where it was held.
+     */
+    @ParameterizedTest(name = "at a primary that does {0}: {1}")
+    @CsvSource({"silent, E40003", "miss, E53300 200"})
+    void drainingAnswersWhatWouldOutliveTheProcess(String act, String answer) throws Exception {
+        primary.acts = new String[] {act};
+        replica.acts = new String[] {"miss"};
+        Wire client = client();
+        client.send(ask(WRITE, 7_900));
+        primary.requests.take();
+        Future<Void> ended = router.drain().compose(nothing -> router.stop());
+        assertThat(client.answer()).startsWith(answer);
+        ended.await(10, TimeUnit.SECONDS);
+        router = null;
+    }
+
     /** Guards against an answer of discovery, or none, that stops the router from asking again. */
     @ParameterizedTest
     @ValueSource(strings = {"nonsense", "{}", "{\"version\":7,\"servers\":[{\"id\":\"x\"}]}", CUT, SILENT})
