--- a/router/src/main/java/ironwind/net/ClientConnection.java
+++ b/router/src/main/java/ironwind/net/ClientConnection.java
@@ -19,11 +19,11 @@
  * One client's connection: its commands are taken as they come and answered in their order. While it says nothing it
  * holds no buffer, no list and no timer.
  */
-final class ClientConnection extends Peer implements ClientSocket.Owner {
+final class ClientConnection extends Peer implements LoopSocket.Owner {
     /** Commands of a client that are read ahead of the answer to the first: each may hold a value in memory. */
     private static final int MOST_AHEAD = 16;
 
-    private final ClientSocket socket;
+    private final LoopSocket socket;
     private final Clients clients;
     /** What has come of a message that is not whole; null where none has begun. */
     private Frames frames;
@@ -46,7 +46,7 @@
     ClientConnection(SocketChannel channel, Clients clients, Span waited) {
         this.clients = clients;
         this.waited = waited;
-        this.socket = new ClientSocket(channel, clients.buffers, this);
+        this.socket = new LoopSocket(channel, clients.buffers, this);
     }
 
     /** Begins to listen to its client. */
--- a/router/src/main/java/ironwind/net/Clients.java
+++ b/router/src/main/java/ironwind/net/Clients.java
@@ -55,7 +55,7 @@
     private static final int OPEN_RPC_BYTES = 1_024;
 
     final IoEventLoop loop;
-    final ClientSocket.Buffers buffers = new ClientSocket.Buffers();
+    final LoopSocket.Buffers buffers;
     private final Timers timers;
     private final StartFacts facts;
     /** Let in at one time, the parting among them: what descriptors allow. */
@@ -80,9 +80,10 @@
     private boolean dismissing;
     private Runnable whenGone = () -> { };
 
-    Clients(IoEventLoop loop, Timers timers, StartFacts facts, Limits limits, Budget budget, int most,
-            LogicTask logic, Counters counters, Log log) {
+    Clients(IoEventLoop loop, Timers timers, LoopSocket.Buffers buffers, StartFacts facts, Limits limits, Budget budget,
+            int most, LogicTask logic, Counters counters, Log log) {
         this.loop = loop;
+        this.buffers = buffers;
         this.timers = timers;
         this.facts = facts;
         this.limits = limits;
@@ -154,7 +155,7 @@
             address = ((InetSocketAddress) channel.getRemoteAddress()).getAddress();
         } catch (IOException goneAgain) {
             counters.add(Ending.CLIENT_LEFT);
-            new ClientSocket(channel, buffers, null).close();
+            new LoopSocket(channel, buffers, null).close();
             return;
         }
         makeRoom();
@@ -262,7 +263,7 @@
     private void callTurn() {
         if (!turnDue) {
             turnDue = true;
-            loop.execute(this::turn);
+            timers.soon(this::turn);
         }
     }
 
@@ -336,7 +337,7 @@
     }
 
     void soon(Runnable action) {
-        loop.execute(action);
+        timers.soon(action);
     }
 
     void malformed(PgFault fault) {
--- a/router/src/main/java/ironwind/net/HostConnection.java
+++ b/router/src/main/java/ironwind/net/HostConnection.java
@@ -1,24 +1,23 @@
 package ironwind.net;
 
-import io.vertx.core.Future;
-import io.vertx.core.buffer.Buffer;
-import io.vertx.core.net.NetSocket;
 import ironwind.model.Moment;
 import ironwind.pg.Encoder;
 import ironwind.pg.Frame;
 import ironwind.pg.Frames;
 import ironwind.pg.HostMessage;
 import ironwind.pg.PgFault;
+import java.io.IOException;
+import java.net.ConnectException;
 
 /** One connection to a host: brought up, then used for one request after another. */
-final class HostConnection {
+final class HostConnection implements LoopSocket.Owner {
     private static final String USER = "client";
     private static final String DATABASE = "core";
 
     final String hostId;
     private final HostConnections pool;
     private final Frames frames;
-    private NetSocket socket;
+    private LoopSocket socket;
     private boolean up;
     private boolean closed;
     /** Whether the rest of a message is being waited for. */
@@ -30,7 +29,9 @@
     private int pendingLent;
     private Use use;
     private HostWord word = new HostWord();
-    private Future<Void> written;
+    /** Whether a request was begun on it, and how much of that the system has not taken. */
+    private boolean asked;
+    private int unwritten;
     Moment idleSince = Moment.NEVER;
 
     /** One use of a connection: a request and its answer. */
@@ -53,17 +54,23 @@
         return up;
     }
 
+    /** Its socket begins to come up. */
+    void begin(LoopSocket begun) {
+        socket = begun;
+    }
+
     /** The socket is there: says hello, and waits for the host's welcome. */
-    void opened(NetSocket opened) {
-        socket = opened;
-        if (closed) {
-            release();
-            return;
+    @Override
+    public void connected() {
+        if (!closed) {
+            socket.listen(true);
+            socket.write(Encoder.startup(USER, DATABASE));
         }
-        socket.handler(this::received);
-        socket.closeHandler(nothing -> broken());
-        socket.exceptionHandler(fault -> broken());
-        socket.write(Buffer.buffer(Encoder.startup(USER, DATABASE)));
+    }
+
+    @Override
+    public void unconnected(IOException cause) {
+        failed(cause instanceof ConnectException ? Ending.REFUSED : Ending.NEVER_UP);
     }
 
     void take(Use next) {
@@ -72,7 +79,13 @@
 
     void write(byte[] request) {
         word = new HostWord();
-        written = socket.write(Buffer.buffer(request));
+        asked = true;
+        unwritten = socket.write(request);
+    }
+
+    @Override
+    public void taken(int bytes) {
+        unwritten = Math.max(0, unwritten - bytes);
     }
 
     /** The use is over before its request was written. */
@@ -90,21 +103,28 @@
     }
 
     private boolean wasWritten() {
-        return written != null && written.succeeded();
+        return asked && unwritten == 0;
     }
 
-    private void received(Buffer buffer) {
-        if (closed) {
-            return;
+    @Override
+    public void readable() {
+        byte[] bytes = closed ? null : socket.read();
+        if (bytes == null) {
+            hungUp();
+        } else if (bytes.length > 0) {
+            received(bytes);
         }
+    }
+
+    private void received(byte[] bytes) {
         if (up && !wasWritten()) {
             // More than an answer, or ahead of its request: nothing that comes here can be told apart any more.
-            pool.surplus(this, buffer.length());
+            pool.surplus(this, bytes.length);
             end(use == null ? Ending.SURPLUS : Ending.BROKE_UNWRITTEN);
             return;
         }
         try {
-            frames.add(buffer.getBytes());
+            frames.add(bytes);
             for (Frame frame = frames.next(); frame != null && !closed; frame = frames.next()) {
                 pendingLent = 0;
                 HostMessage message = HostMessage.decode(frame);
@@ -135,7 +155,7 @@
             if (pool.lend(this, more)) {
                 lent();
             } else {
-                socket.pause();
+                socket.listen(false);
             }
         }
     }
@@ -153,7 +173,7 @@
     /** The memory that it waited for is lent. */
     void readOn() {
         lent();
-        socket.resume();
+        socket.listen(true);
     }
 
     private void giveBack() {
@@ -193,7 +213,7 @@
             Use done = use;
             HostWord said = word;
             use = null;
-            written = null;
+            asked = false;
             word = new HostWord();
             giveBack();
             if (frames.midway() || !said.isWhole()) {
@@ -205,8 +225,14 @@
         }
     }
 
+    @Override
+    public void broken() {
+        // Not at once: whoever writes is in the midst of something.
+        pool.soon(this::hungUp);
+    }
+
     /** The connection is gone. What a host said before it closed still counts. */
-    private void broken() {
+    private void hungUp() {
         if (closed) {
             return;
         }
@@ -243,15 +269,9 @@
             closed = true;
             giveBack();
             pool.forget(this);
-            if (socket != null) {
-                release();
-            }
+            // Its descriptor is free, or will be before another is opened.
+            socket.close();
+            pool.released();
         }
     }
-
-    /** Its descriptor is free, or will be before another is opened. */
-    private void release() {
-        socket.close();
-        pool.released();
-    }
 }
--- a/router/src/main/java/ironwind/net/HostConnections.java
+++ b/router/src/main/java/ironwind/net/HostConnections.java
@@ -1,9 +1,6 @@
 package ironwind.net;
 
-import io.vertx.core.Vertx;
-import io.vertx.core.net.NetClient;
-import io.vertx.core.net.NetClientOptions;
-import io.vertx.core.net.SocketAddress;
+import io.netty.channel.IoEventLoop;
 import ironwind.idle.Budget;
 import ironwind.idle.Budget.Use;
 import ironwind.model.Moment;
@@ -12,7 +9,7 @@
 import ironwind.pg.PgFault;
 import ironwind.start.Address;
 import ironwind.start.StartFacts;
-import java.net.ConnectException;
+import java.io.IOException;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Deque;
@@ -36,8 +33,9 @@
     private static final Span QUIET = Span.ofMillis(3);
 
     private final Timers timers;
-    private final Runnable stopSweeping;
-    private final NetClient client;
+    private final IoEventLoop loop;
+    private final LoopSocket.Buffers buffers;
+    private boolean stopped;
     private final Span connectTime;
     private final Span idleTime;
     private final int most;
@@ -48,15 +46,18 @@
     private final Map<String, Address> addresses = new HashMap<>();
     private final Map<String, Deque<HostConnection>> idle = new LinkedHashMap<>();
     private final Set<HostConnection> open = new HashSet<>();
-    /** Sockets that are coming up, whether still wanted or not, or open: what descriptors are counted by. */
+    /** Sockets that are coming up or open: what descriptors are counted by. */
     private int sockets;
 
     /** Those that read no further until there is memory for the rest of their answer, in the order of waiting. */
     private final Deque<HostConnection> needMemory = new ArrayDeque<>();
     private final Budget budget;
 
-    HostConnections(Vertx vertx, StartFacts facts, Budget budget, int most, Counters counters, Log log) {
-        this.timers = new Timers(vertx);
+    HostConnections(IoEventLoop loop, Timers timers, LoopSocket.Buffers buffers, StartFacts facts, Budget budget, int most,
+            Counters counters, Log log) {
+        this.loop = loop;
+        this.timers = timers;
+        this.buffers = buffers;
         this.connectTime = facts.connectTime();
         this.idleTime = facts.hostIdleTime().times(IDLE_PART);
         this.budget = budget;
@@ -64,9 +65,16 @@
         this.longestMessage = (int) (MESSAGE_PART * facts.memoryMb() * MEGABYTE);
         this.counters = counters;
         this.log = log;
-        this.client = vertx.createNetClient(new NetClientOptions().setConnectTimeout(Timers.millis(connectTime)));
-        long sweep = vertx.setPeriodic(Timers.millis(idleTime.times(1 - IDLE_PART)), timer -> closeStale());
-        this.stopSweeping = () -> vertx.cancelTimer(sweep);
+        sweepLater();
+    }
+
+    private void sweepLater() {
+        timers.after(idleTime.times(1 - IDLE_PART), () -> {
+            if (!stopped) {
+                closeStale();
+                sweepLater();
+            }
+        });
     }
 
     /** Where a host listens; what is open to an address it had before is closed. */
@@ -96,19 +104,16 @@
             return null;
         }
         HostConnection connection = new HostConnection(hostId, this, use);
+        try {
+            connection.begin(LoopSocket.connect(loop, address, buffers, connection));
+        } catch (IOException none) {
+            log.warn("no_descriptor", "host", hostId, "sockets", sockets, "cause", none.getMessage());
+            return null;
+        }
         open.add(connection);
         counters.add(Count.HOST_CONNECTIONS);
         later(() -> connection.failed(Ending.NEVER_UP));
         sockets++;
-        client.connect(SocketAddress.inetSocketAddress(address.port(), address.ip())).onComplete(result -> {
-            if (result.succeeded()) {
-                connection.opened(result.result());
-            } else {
-                released();
-                boolean refused = result.cause() instanceof ConnectException;
-                connection.failed(refused ? Ending.REFUSED : Ending.NEVER_UP);
-            }
-        });
         return connection;
     }
 
@@ -188,6 +193,10 @@
         log.warn("host_surplus", "host", connection.hostId, "bytes", bytes);
     }
 
+    void soon(Runnable action) {
+        timers.soon(action);
+    }
+
     /** After the time in which a host that runs lets a connection come up. */
     void later(Runnable action) {
         timers.after(connectTime, action);
@@ -218,7 +227,7 @@
     }
 
     void stop() {
-        stopSweeping.run();
+        stopped = true;
         new ArrayList<>(open).forEach(HostConnection::close);
     }
 }
--- a/router/src/main/java/ironwind/net/LogicTask.java
+++ b/router/src/main/java/ironwind/net/LogicTask.java
@@ -1,6 +1,5 @@
 package ironwind.net;
 
-import io.vertx.core.Context;
 import ironwind.model.CallOut;
 import ironwind.model.Customer;
 import ironwind.model.Deployment;
@@ -39,7 +38,6 @@
 
     private static final Moment FAR = new Moment(Long.MAX_VALUE / 4);
 
-    private final Context context;
     private final Timers timers;
     private final Deployment deployment;
     private final Inbound logic;
@@ -86,9 +84,8 @@
     private record Event(Exchange concerned, Consumer<Moment> act) {
     }
 
-    LogicTask(Context context, Timers timers, StartFacts facts, Function<Outbound, Inbound> module,
+    LogicTask(Timers timers, StartFacts facts, Function<Outbound, Inbound> module,
             HostConnections hosts, Counters counters, Log log) {
-        this.context = context;
         this.timers = timers;
         this.deployment = facts.deployment();
         this.logic = module.apply(this);
@@ -104,7 +101,7 @@
     private void put(Exchange concerned, Consumer<Moment> act) {
         queue.add(new Event(concerned, act));
         if (batchDue.compareAndSet(false, true)) {
-            context.runOnContext(nothing -> batch());
+            timers.soon(this::batch);
         }
     }
 
@@ -311,6 +308,6 @@
 
     @Override
     public void wakeAt(Moment when) {
-        timers.after(when.since(now), () -> put(null, time -> { }));
+        timers.after(when.since(now), this::batch);
     }
 }
--- a/router/src/main/java/ironwind/net/ClientSocket.java
+++ b/router/src/main/java/ironwind/net/LoopSocket.java
@@ -8,7 +8,10 @@
 import io.netty.channel.nio.NioIoOps;
 import io.netty.channel.nio.NioSelectableChannelIoHandle;
 import io.netty.util.internal.PlatformDependent;
+import ironwind.start.Address;
 import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.net.StandardSocketOptions;
 import java.nio.ByteBuffer;
 import java.nio.channels.CancelledKeyException;
 import java.nio.channels.SelectionKey;
@@ -17,17 +20,26 @@
 import java.util.Deque;
 
 /**
- * One client's socket on the loop that serves: the system's channel and nothing above it. What is read and written
- * passes through buffers of the loop; one of its own it has only while the client does not take what it is owed.
+ * One socket of a client or to a host on the loop that serves: the system's channel and nothing above it. What is read
+ * and written passes through buffers of the loop; one of its own it has only while the peer does not take what it is
+ * owed.
  */
-final class ClientSocket extends NioSelectableChannelIoHandle<SocketChannel> {
+final class LoopSocket extends NioSelectableChannelIoHandle<SocketChannel> {
     /** Of one turn, what is read from one client at most. */
     private static final int BUFFER_BYTES = 64 * 1024;
     private static final int CHUNK_BYTES = Buffers.PAGE_BYTES << Buffers.PAGES_AS_POWER;
 
     /** What happens on it. */
     interface Owner {
-        /** Something has come, or the client is gone: time to {@link #read}. */
+        /** What {@link #connect} began has come up. */
+        default void connected() {
+        }
+
+        /** What {@link #connect} began never comes up. */
+        default void unconnected(IOException cause) {
+        }
+
+        /** Something has come, or the peer is gone: time to {@link #read}. */
         void readable();
 
         /** The system took so many bytes of what was left over. */
@@ -69,13 +81,46 @@
         }
     }
 
-    ClientSocket(SocketChannel channel, Buffers buffers, Owner owner) {
+    LoopSocket(SocketChannel channel, Buffers buffers, Owner owner) {
         super(channel);
         this.channel = channel;
         this.buffers = buffers;
         this.owner = owner;
     }
 
+    /**
+     * Begins to connect, on the loop only; the owner hears of the end of it, later. An {@link IOException} tells that
+     * the system has no descriptor.
+     */
+    static LoopSocket connect(IoEventLoop loop, Address to, Buffers buffers, Owner owner) throws IOException {
+        SocketChannel channel = SocketChannel.open();
+        LoopSocket socket = new LoopSocket(channel, buffers, owner);
+        try {
+            channel.configureBlocking(false);
+            channel.setOption(StandardSocketOptions.TCP_NODELAY, true);
+            if (channel.connect(new InetSocketAddress(to.ip(), to.port()))) {
+                loop.execute(owner::connected);
+            } else {
+                socket.interest = SelectionKey.OP_CONNECT;
+            }
+            socket.register(loop);
+        } catch (IOException refused) {
+            loop.execute(() -> owner.unconnected(refused));
+        }
+        return socket;
+    }
+
+    private void connected(SocketChannel ready) {
+        want(interest & ~SelectionKey.OP_CONNECT);
+        try {
+            ready.finishConnect();
+        } catch (IOException refused) {
+            owner.unconnected(refused);
+            return;
+        }
+        owner.connected();
+    }
+
     /** From now on it is looked at; on the loop only. */
     void register(IoEventLoop loop) {
         loop.register(this).addListener(result -> {
@@ -114,6 +159,10 @@
         } catch (CancelledKeyException closedMeanwhile) {
             return;
         }
+        if ((ops & SelectionKey.OP_CONNECT) != 0) {
+            connected(ready);
+            return;
+        }
         if ((ops & SelectionKey.OP_WRITE) != 0) {
             owner.taken(flush());
         }
@@ -122,7 +171,7 @@
         }
     }
 
-    /** What has come, up to a buffer full; empty where nothing has, null where the client is gone. */
+    /** What has come, up to a buffer full; empty where nothing has, null where the peer is gone. */
     byte[] read() {
         ByteBuffer in = buffers.in.clear();
         try {
--- a/router/src/main/java/ironwind/net/Rehearsal.java
+++ b/router/src/main/java/ironwind/net/Rehearsal.java
@@ -1,7 +1,6 @@
 package ironwind.net;
 
-import io.vertx.core.Context;
-import io.vertx.core.Vertx;
+import io.netty.channel.IoEventLoop;
 import ironwind.idle.Budget;
 import ironwind.model.Customer;
 import ironwind.model.Host.Listing;
@@ -43,7 +42,7 @@
     /** Hosts by id; the first is the primary. So many that none is taken for silent while all is still slow. */
     private static final List<String> HOSTS = List.of("a", "b", "c", "d", "e", "f");
 
-    private final Context context;
+    private final Timers timers;
     private final StartFacts facts;
     private final SplittableRandom random;
     private final HostConnections hosts;
@@ -54,18 +53,17 @@
     private boolean over;
 
     /** {@code done} is told how many RPCs were played. */
-    Rehearsal(Vertx vertx, Context context, StartFacts facts, Function<Outbound, Inbound> module, int most,
-            IntConsumer done) {
-        this.context = context;
+    Rehearsal(IoEventLoop loop, Timers timers, LoopSocket.Buffers buffers, StartFacts facts,
+            Function<Outbound, Inbound> module, int most, IntConsumer done) {
+        this.timers = timers;
         this.facts = facts.withConnectTime(LONGEST);
         this.random = new SplittableRandom(facts.seed());
         this.done = done;
         Counters counters = new Counters();
         Log log = new Log(new PrintStream(OutputStream.nullOutputStream()));
-        this.hosts = new HostConnections(vertx, this.facts, new Budget(REHEARSAL_BYTES),
+        this.hosts = new HostConnections(loop, timers, buffers, this.facts, new Budget(REHEARSAL_BYTES),
                 Math.min(MOST_SOCKETS, most), counters, log);
-        Timers timers = new Timers(vertx);
-        this.task = new LogicTask(context, timers, this.facts, module, hosts, counters, log);
+        this.task = new LogicTask(timers, this.facts, module, hosts, counters, log);
         timers.after(LONGEST, this::end);
     }
 
@@ -95,7 +93,7 @@
         long waits = method.deadline().us() / 1_000;
         Statement statement = Statement.parse("/* id=" + id + ",c=" + method.index() + ",d=" + waits
                 + ",k=" + id + ",cluster=0 */ SELECT val FROM state WHERE uid = '" + id + "'");
-        task.arrived(new Exchange(statement, () -> context.runOnContext(nothing -> next())),
+        task.arrived(new Exchange(statement, () -> timers.soon(this::next)),
                 new LogicTask.Asked(id, method, customer, 0, statement.key(), Span.ofMillis(waits), 0, false, Span.ZERO,
                         false));
     }
--- a/router/src/main/java/ironwind/net/Router.java
+++ b/router/src/main/java/ironwind/net/Router.java
@@ -80,23 +80,28 @@
         vertx.exceptionHandler(this::uncaught);
         context.runOnContext(nothing -> {
             Budget budget = new Budget(limits.memory());
-            Timers timers = new Timers(vertx);
-            hosts = new HostConnections(vertx, facts, budget, facts.mostToHosts(), counters, log);
-            logic = new LogicTask(context, timers, facts, module, hosts, counters, log);
+            Timers timers = new Timers(loop(), this::uncaught);
+            LoopSocket.Buffers buffers = new LoopSocket.Buffers();
+            IoEventLoop loop = loop();
+            hosts = new HostConnections(loop, timers, buffers, facts, budget, facts.mostToHosts(), counters, log);
+            logic = new LogicTask(timers, facts, module, hosts, counters, log);
             discovery = new Discovery(vertx, facts, logic, hosts, counters, log);
-            IoEventLoop loop = (IoEventLoop) ((ContextInternal) context).nettyEventLoop();
-            clients = new Clients(loop, timers, facts, limits, budget, facts.mostOfClients(), logic, counters, log);
+            clients = new Clients(loop, timers, buffers, facts, limits, budget, facts.mostOfClients(), logic, counters, log);
             Promise<Void> heard = Promise.promise();
             // Before the door opens: what a client writes to a loop that is still loading code would lie there.
             discovery.start(facts.knownHosts(), heard::tryComplete);
             vertx.setTimer(FIRST_LIST_MS, timer -> heard.tryComplete());
-            context.runOnContext(later -> open(started, heard.future()));
+            context.runOnContext(later -> open(started, heard.future(), timers, buffers));
         });
         return started.future().onSuccess(nothing ->
                 log.info("listening", "name", facts.name(), "address", facts.listen().ip() + ":" + clients.port()));
     }
 
-    private void open(Promise<Void> started, Future<Void> heard) {
+    private IoEventLoop loop() {
+        return (IoEventLoop) ((ContextInternal) context).nettyEventLoop();
+    }
+
+    private void open(Promise<Void> started, Future<Void> heard, Timers timers, LoopSocket.Buffers buffers) {
         Promise<Void> rehearsed = Promise.promise();
         try {
             clients.listen();
@@ -107,7 +112,7 @@
         }
         if (rehearses) {
             int most = Math.max(1, facts.mostOfClients() / 4);
-            clients.rehearse(new Rehearsal(vertx, context, facts, module, most, played -> {
+            clients.rehearse(new Rehearsal(loop(), timers, buffers, facts, module, most, played -> {
                 log.info("rehearsed", "rpcs", played);
                 rehearsed.tryComplete();
             }));
--- a/router/src/main/java/ironwind/net/Timers.java
+++ b/router/src/main/java/ironwind/net/Timers.java
@@ -1,14 +1,19 @@
 package ironwind.net;
 
-import io.vertx.core.Vertx;
+import io.netty.channel.IoEventLoop;
 import ironwind.model.Span;
+import java.util.concurrent.Future;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 
-/** One-shot timers of the event loop. */
+/** Timers and turns of the event loop, with nothing above it; what an action throws is told, and the loop goes on. */
 final class Timers {
-    private final Vertx vertx;
+    private final IoEventLoop loop;
+    private final Consumer<Throwable> uncaught;
 
-    Timers(Vertx vertx) {
-        this.vertx = vertx;
+    Timers(IoEventLoop loop, Consumer<Throwable> uncaught) {
+        this.loop = loop;
+        this.uncaught = uncaught;
     }
 
     /** A timer that runs; cancelling it later than that does nothing. */
@@ -17,13 +22,28 @@
     }
 
     Timer after(Span span, Runnable action) {
-        long id = vertx.setTimer(millis(span), timer -> action.run());
-        return () -> vertx.cancelTimer(id);
+        Future<?> timer = loop.schedule(guarded(action), Math.max(0, span.us()), TimeUnit.MICROSECONDS);
+        return () -> timer.cancel(false);
     }
 
     /** Until the program ends. */
     void every(Span span, Runnable action) {
-        vertx.setPeriodic(millis(span), timer -> action.run());
+        loop.scheduleAtFixedRate(guarded(action), span.us(), span.us(), TimeUnit.MICROSECONDS);
+    }
+
+    /** Once the loop has done what it is at. */
+    void soon(Runnable action) {
+        loop.execute(guarded(action));
+    }
+
+    private Runnable guarded(Runnable action) {
+        return () -> {
+            try {
+                action.run();
+            } catch (RuntimeException fault) {
+                uncaught.accept(fault);
+            }
+        };
     }
 
     /** A time to come back after, as an error's detail tells it; null for none. */
