The rate of warm hosts is reckoned once a look, not by each held RPC for each cold host

Need: the cold allowance asked warmRate() of each cold host for each held RPC at each look and each event, and that went through all hosts with an exponential each: held RPCs times cold hosts times all hosts.

Change: one pass over the hosts a look. The new test compares looks with 32 and 1,024 hosts, and fails without it.

--- a/router/src/main/java/ironwind/Logic.java
+++ b/router/src/main/java/ironwind/Logic.java
@@ -124,6 +124,8 @@
     private final Map<String, Host> hosts = new LinkedHashMap<>();
     private final Map<Integer, Group> groups = new TreeMap<>();
     private final Map<Integer, Mean> zones = new TreeMap<>();
+    /** By kind of host. */
+    private final Map<Integer, Double> warmRates = new TreeMap<>();
     private final List<Rpc> held = new ArrayList<>();
     /** Hosts that hold call-outs of ours: most hosts hold none of a small router's. */
     private final List<Host> working = new ArrayList<>();
@@ -892,7 +894,7 @@
         double warmth = Math.max(0, age.minus(window).over(deployment.warmAfter()));
         double share = deployment.coldShare() + (1 - deployment.coldShare()) * Math.min(1, warmth);
         double everyone = deployment.fallMultiple() * share * window.us() / 1e6 * COLD_MARGIN;
-        double ours = everyone * warmRate(host.kind) * host.size;
+        double ours = everyone * warmRates.getOrDefault(host.kind, 0.0) * host.size;
         double budget = Math.max(COLD_FLOOR / deployment.routers(), ours);
         if (budget >= 1) {
             return host.sends.within(window, now) < (int) budget;
@@ -903,18 +905,21 @@
         return !now.before(host.startedAt.plus(gap.times(host.coldPhase)).later(host.sends.last().plus(gap)));
     }
 
-    /** Our own RPCs that a warm host of this kind has lately served a second, per unit of listed size. */
-    private double warmRate(int kind) {
-        double sizes = 0;
-        double served = 0;
+    /**
+     * Our own RPCs that a warm host of each kind has lately served a second, per unit of listed size. Reckoned once
+     * a look: each held RPC asks it of each cold host, and together they would go through all hosts without end.
+     */
+    private void reckonWarmRates() {
+        warmRates.clear();
+        Map<Integer, Double> sizes = new TreeMap<>();
         for (Host host : hosts.values()) {
-            boolean warm = !now.since(host.startedAt).shorterThan(deployment.warmAfter());
-            boolean counts = host.kind == kind && sendable(host) && warm;
-            sizes += counts ? host.size : 0;
-            served += counts ? host.served.value * lasting(host.served, RATE_OVER) : 0;
+            if (sendable(host) && !now.since(host.startedAt).shorterThan(deployment.warmAfter())) {
+                sizes.merge(host.kind, host.size, Double::sum);
+                warmRates.merge(host.kind, host.served.value * lasting(host.served, RATE_OVER), Double::sum);
+            }
         }
         double window = RATE_OVER.us() / 1e6 * (1 - Math.exp(-now.since(started).over(RATE_OVER)));
-        return sizes == 0 || window <= 0 ? 0 : served / sizes / window;
+        warmRates.replaceAll((kind, served) -> window <= 0 ? 0 : served / sizes.get(kind) / window);
     }
 
     private boolean send(Rpc rpc, Host host) {
@@ -950,6 +955,7 @@
         if (due) {
             nextLook = now.plus(LOOK_EVERY);
             fillBuckets();
+            reckonWarmRates();
             for (Host host : new ArrayList<>(working)) {
                 noteOverdue(host);
                 listenTo(host);
--- a/router/src/test/java/ironwind/LogicTest.java
+++ b/router/src/test/java/ironwind/LogicTest.java
@@ -15,6 +15,7 @@
 import ironwind.model.Rpc.Stage;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.stream.IntStream;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
@@ -473,4 +474,31 @@
         assertThat(write.stage).isEqualTo(Stage.OVER);
         assertThat(scene.asked).endsWith("push back " + write.id);
     }
+
+    /**
+     * Guards against looks whose cost is held RPCs times cold hosts times all hosts: routers with more traffic than
+     * others stood still for up to 0.7 s while hosts were replaced.
+     */
+    @Test
+    void aLookAtWhatWaitsForColdHostsCostsNoMoreWhereTheListIsLong() {
+        assertThat(costOfLooks(1_024)).isLessThan(8 * costOfLooks(32));
+    }
+
+    /** Nanoseconds of looks at RPCs that wait for one cold group, the best of some rounds. */
+    private static double costOfLooks(int hosts) {
+        Scene scene = new Scene(HostChecks.NONE, false, Effect.IDEMPOTENT, 1_024);
+        scene.list(true, IntStream.range(0, hosts).mapToObj(i -> i < 6 ? "h" + i + ":cold" : "other" + i)
+                .toArray(String[]::new));
+        double best = Double.MAX_VALUE;
+        for (int round = 0; round < 8; round++) {
+            for (int i = 0; i < 60; i++) {
+                scene.arrive(Scene.ANY);
+            }
+            long begun = System.nanoTime();
+            scene.pass(100);
+            best = Math.min(best, System.nanoTime() - begun);
+            scene.pass(1_000);
+        }
+        return best;
+    }
 }
--- a/router/src/test/java/ironwind/Scene.java
+++ b/router/src/test/java/ironwind/Scene.java
@@ -54,7 +54,10 @@
         logic = new Logic(deployment, 7, this);
     }
 
-    /** Entries are words such as {@code a}, {@code a:primary}, {@code a:draining}, {@code a:gone}, {@code a:cold}. */
+    /**
+     * Entries are words such as {@code a}, {@code a:primary}, {@code a:draining}, {@code a:gone}, {@code a:cold}; names
+     * with {@code far} are of another zone, with {@code other} of another group.
+     */
     Scene list(boolean complete, String... entries) {
         List<RosterEntry> list = new ArrayList<>();
         for (String entry : entries) {
@@ -63,7 +66,8 @@
                     : words[1].equals("gone") ? Listing.GONE : Listing.READY;
             Moment started = words[1].equals("cold") ? now() : Moment.NEVER;
             int zone = words[0].startsWith("far") ? 1 : 0;
-            list.add(new RosterEntry(words[0], zone, 0, 1, listing, 1, started,
+            int group = words[0].startsWith("other") ? 2 : 1;
+            list.add(new RosterEntry(words[0], zone, 0, group, listing, 1, started,
                     words[1].equals("primary")));
         }
         logic.listed(now(), complete, list);
