--- a/router/src/main/java/ironwind/net/Log.java
+++ b/router/src/main/java/ironwind/net/Log.java
@@ -112,6 +112,11 @@
         sink.line(Level.ERROR, event, "fault", fault, "at", trace.length == 0 ? "" : trace[0]);
     }
 
+    /** What must not be, and is no exception: told each time. */
+    public void error(String event, Object... pairs) {
+        sink.line(Level.ERROR, event, pairs);
+    }
+
     private static String plain(InstantSource clock, Level level, String event, Object... pairs) {
         StringBuilder line = new StringBuilder(96).append(clock.instant().truncatedTo(ChronoUnit.MILLIS)).append(' ')
                 .append(level).append(' ').append(event);
--- a/router/src/main/java/ironwind/net/LogicTask.java
+++ b/router/src/main/java/ironwind/net/LogicTask.java
@@ -132,6 +132,16 @@
         return openIds.size();
     }
 
+    /** Says which RPCs end without an answer, by what hosts they may have reached: for the last moment of a process. */
+    void tellUnanswered() {
+        for (Exchange exchange : openIds.values()) {
+            List<String> hosts = exchange.rpc == null ? List.of()
+                    : exchange.rpc.callOuts.stream().map(callOut -> callOut.host.id).toList();
+            log.error("unanswered", "id", exchange.statement.facts().get("id"), "method",
+                    exchange.statement.facts().get("c"), "hosts", hosts);
+        }
+    }
+
     /** Memory may be free for answers of hosts that wait for it. */
     void memoryFreed() {
         hosts.memoryFreed();
--- a/router/src/main/java/ironwind/net/Router.java
+++ b/router/src/main/java/ironwind/net/Router.java
@@ -176,6 +176,7 @@
     public Future<Void> stop() {
         Promise<Void> stopped = Promise.promise();
         context.runOnContext(nothing -> {
+            logic.tellUnanswered();
             log.info("stopped", "counters", counters);
             clients.stop();
             discovery.stop();
