1,024 hosts and routers: list read whole in pieces, all groups served with 96 descriptors

Need: no cap below 1,024 on either list. Test: a list of 1,024 hosts in 256 groups, in pieces of 1,021 bytes, to one of 1,024 routers with 96 descriptors; a read and a write of each group are served. Hosts missing from a complete list are found in a set, no longer by going through a list for each entry.

--- a/router/src/main/java/ironwind/Logic.java
+++ b/router/src/main/java/ironwind/Logic.java
@@ -172,7 +172,7 @@
         now = time;
         started = started.us() == Moment.NEVER.us() ? now : started;
         stirred = true;
-        List<Host> absent = complete ? new ArrayList<>(hosts.values()) : new ArrayList<>();
+        Set<Host> absent = complete ? new LinkedHashSet<>(hosts.values()) : new LinkedHashSet<>();
         for (RosterEntry entry : entries) {
             Host host = hosts.computeIfAbsent(entry.id(), Host::new);
             absent.remove(host);
--- a/router/src/test/java/ironwind/net/RouterTest.java
+++ b/router/src/test/java/ironwind/net/RouterTest.java
@@ -43,6 +43,7 @@
 import java.util.concurrent.Executors;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
+import java.util.stream.IntStream;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -56,6 +57,8 @@
 class RouterTest {
     private static final String CUT = "no answer, and the connection is cut";
     private static final String SILENT = "no answer at all";
+    /** Discovery's answers come in pieces of so many bytes. */
+    private static final int PIECE = 1_021;
     private static final InetAddress LOOPBACK = InetAddress.getLoopbackAddress();
     private static final String READ = "/* id=r%d,c=read,d=%d,cluster=2 */ SELECT val FROM state WHERE uid = 'k'";
     private static final String WRITE = "/* id=r%d,c=write,d=%d,k=m,cluster=2 */ INSERT INTO state (uid) VALUES ('k')";
@@ -102,7 +105,10 @@
                 }
                 byte[] body = answer.getBytes(StandardCharsets.UTF_8);
                 exchange.sendResponseHeaders(200, body.length);
-                exchange.getResponseBody().write(body);
+                for (int from = 0; from < body.length; from += PIECE) {
+                    exchange.getResponseBody().write(body, from, Math.min(PIECE, body.length - from));
+                    exchange.getResponseBody().flush();
+                }
             } catch (InterruptedException e) {
                 Thread.currentThread().interrupt();
             } finally {
@@ -462,6 +468,30 @@
         router = null;
     }
 
+    /**
+     * 1,024 hosts and routers, and far fewer descriptors than hosts: the list comes whole though in pieces, each group is
+     * served, and connections are closed in turn.
+     */
+    @Test
+    void aLongListIsServedWholeWithFewDescriptors() throws Exception {
+        JsonObject settings = SETTINGS.copy().put("peers_total", 1_024);
+        facts = StartFacts.read(configuration(discovery).put("settings", settings)
+                .put("limits", new JsonObject().put("sockets", 96)));
+        JsonObject[] entries = IntStream.range(0, 1_024).mapToObj(i -> (i % 4 == 0 ? primary : replica).entry()
+                .put("id", "h" + i).put("cell", i / 4)).toArray(JsonObject[]::new);
+        lists.add(list(2, entries));
+        begin(new Router(facts, new Log(new PrintStream(log, true))).unrehearsed());
+        Wire client = admitted();
+        for (int group = 0; group < 256; group++) {
+            for (String form : List.of(READ, WRITE)) {
+                client.send(Encoder.query(form.formatted(asked++, 1_900).replace("cluster=2", "cluster=" + group)));
+                assertThat(client.answer()).as("%s of group %d", form, group).isEqualTo("TDCZ");
+            }
+        }
+        assertThat(log.toString()).doesNotContain("no_socket", "no_descriptor", "discovery_failed");
+        assertThat(router.counters().read().get("host_connections")).isGreaterThan(500);
+    }
+
     /** Guards against an answer of discovery, or none, that stops the router from asking again. */
     @ParameterizedTest
     @ValueSource(strings = {"nonsense", "{}", "{\"version\":7,\"servers\":[{\"id\":\"x\"}]}", CUT, SILENT})
@@ -595,6 +625,8 @@
             threads.submit(() -> {
                 while (!server.isClosed()) {
                     Socket socket = server.accept();
+                    // It writes in pieces: else each answer would wait 40 ms for an acknowledgement.
+                    socket.setTcpNoDelay(true);
                     connections++;
                     threads.submit(() -> serve(socket));
                 }
