--- a/router/src/main/java/ironwind/Logic.java
+++ b/router/src/main/java/ironwind/Logic.java
@@ -5,13 +5,12 @@
 import ironwind.model.Rpc.Stage;
 import java.util.*;
 import java.util.function.BiConsumer;
-import java.util.function.Predicate;
 
 /**
  * All decisions of one router. A front (the wire's adapter, or a real router) makes one instance per router,
- * brings every event of a batch through {@link Inbound}, then calls {@link #settle}; the module answers by
- * {@link Outbound}. Both stand in {@code ironwind.model}, with the state that only this class writes. It has
- * no clock but the batch's, draws chance from its seed alone, and is not safe for use by several threads.
+ * brings every event of a batch through {@link Inbound}, then calls {@link #settle}; the module answers through
+ * {@link Outbound}. Both stand in {@code ironwind.model}, with the state that only this class writes. It reads no
+ * clock but the batch's, draws chance from its seed alone, and is not safe for use by several threads.
  *
  * <p>The ordinary path is the log-position gate of docs/design.md: see {@link #choose}. Whatever is proposed,
  * {@link #gate} is the one place that a send passes. What happens to an RPC stands in {@link #TABLE}.
@@ -125,9 +124,8 @@
     private final Map<String, Host> hosts = new LinkedHashMap<>();
     private final Map<Integer, Group> groups = new TreeMap<>();
     private final Map<Integer, Mean> zones = new TreeMap<>();
-    /** By kind of host; of all, and of primaries alone. */
+    /** By kind of host. */
     private final Map<Integer, Double> warmRates = new TreeMap<>();
-    private final Map<Integer, Double> leadRates = new TreeMap<>();
     private final List<Rpc> held = new ArrayList<>();
     /** Hosts that hold call-outs of ours: most hosts hold none of a small router's. */
     private final List<Host> working = new ArrayList<>();
@@ -689,7 +687,7 @@
         return !now.before(rpc.deadline.minus(deployment.tick().times(2)));
     }
 
-    /** Guards against a look that comes late: what is held is answered by its deadline, looked at or not. */
+    /** Guards against a look that comes late: what is held is answered by its deadline, whenever the look is due. */
     private boolean anyAtLastCall() {
         for (Rpc rpc : held) {
             if (lastCall(rpc)) {
@@ -797,12 +795,6 @@
         return speed * speed * speed * speed;
     }
 
-    /** The part of its full work that a host which started so long ago can do at the least. */
-    private double shareWarm(Span age) {
-        double warmth = age.shorterThan(deployment.warmAfter()) ? age.over(deployment.warmAfter()) : 1;
-        return deployment.coldShare() + (1 - deployment.coldShare()) * Math.max(0, warmth);
-    }
-
     /**
      * Whether a replica would miss: by its last miss, or by how much further behind its report was than the
      * group's best (late reports make all look behind alike, and tell nothing).
@@ -899,9 +891,10 @@
         if (!age.shorterThan(deployment.warmAfter().plus(window))) {
             return true;
         }
-        double share = shareWarm(age.minus(window));
+        double warmth = Math.max(0, age.minus(window).over(deployment.warmAfter()));
+        double share = deployment.coldShare() + (1 - deployment.coldShare()) * Math.min(1, warmth);
         double everyone = deployment.fallMultiple() * share * window.us() / 1e6 * COLD_MARGIN;
-        double ours = everyone * warmRate(host) * host.size;
+        double ours = everyone * warmRates.getOrDefault(host.kind, 0.0) * host.size;
         double budget = Math.max(COLD_FLOOR / deployment.routers(), ours);
         if (budget >= 1) {
             return host.sends.within(window, now) < (int) budget;
@@ -913,35 +906,20 @@
     }
 
     /**
-     * Our own RPCs that a warm host of each kind has lately served a second, per unit of size. Reckoned
-     * once a look: each held RPC asks it of each cold host, and would go through all hosts each time.
+     * Our own RPCs that a warm host of each kind has lately served a second, per unit of listed size. Reckoned once
+     * a look: each held RPC asks it of each cold host, and together they would go through all hosts without end.
      */
     private void reckonWarmRates() {
-        reckon(warmRates, host -> true);
-        reckon(leadRates, host -> host == host.group.primary);
-    }
-
-    private void reckon(Map<Integer, Double> rates, Predicate<Host> counted) {
-        rates.clear();
+        warmRates.clear();
         Map<Integer, Double> sizes = new TreeMap<>();
         for (Host host : hosts.values()) {
-            boolean warm = !now.since(host.startedAt).shorterThan(deployment.warmAfter());
-            if (warm && sendable(host) && counted.test(host)) {
+            if (sendable(host) && !now.since(host.startedAt).shorterThan(deployment.warmAfter())) {
                 sizes.merge(host.kind, host.size, Double::sum);
-                rates.merge(host.kind, host.served.value * lasting(host.served, RATE_OVER), Double::sum);
+                warmRates.merge(host.kind, host.served.value * lasting(host.served, RATE_OVER), Double::sum);
             }
         }
         double window = RATE_OVER.us() / 1e6 * (1 - Math.exp(-now.since(started).over(RATE_OVER)));
-        rates.replaceAll((kind, served) -> window <= 0 ? 0 : served / sizes.get(kind) / window);
-    }
-
-    /**
-     * What a cold host is measured by: what warm ones carry that do the same. A primary carries what no
-     * replica may, and was held to the mean of all. A mean, not the most: summed over routers it stays one.
-     */
-    private double warmRate(Host host) {
-        double all = warmRates.getOrDefault(host.kind, 0.0);
-        return host == host.group.primary ? leadRates.getOrDefault(host.kind, all) : all;
+        warmRates.replaceAll((kind, served) -> window <= 0 ? 0 : served / sizes.get(kind) / window);
     }
 
     private boolean send(Rpc rpc, Host host) {
