--- a/router/src/main/java/ironwind/Logic.java
+++ b/router/src/main/java/ironwind/Logic.java
@@ -8,9 +8,9 @@
 
 /**
  * All decisions of one router. A front (the wire's adapter, or a real router) makes one instance per router,
- * brings every event of a batch through {@link Inbound}, then calls {@link #settle}; the module answers through
- * {@link Outbound}. Both stand in {@code ironwind.model}, with the state that only this class writes. It reads no
- * clock but the batch's, draws chance from its seed alone, and is not safe for use by several threads.
+ * brings every event of a batch through {@link Inbound}, then calls {@link #settle}; the module answers by
+ * {@link Outbound}. Both stand in {@code ironwind.model}, with the state that only this class writes. It reads
+ * no clock but the batch's, draws chance from its seed alone, and is not safe for use by several threads.
  *
  * <p>The ordinary path is the log-position gate of docs/design.md: see {@link #choose}. Whatever is proposed,
  * {@link #gate} is the one place that a send passes. What happens to an RPC stands in {@link #TABLE}.
@@ -124,8 +124,8 @@
     private final Map<String, Host> hosts = new LinkedHashMap<>();
     private final Map<Integer, Group> groups = new TreeMap<>();
     private final Map<Integer, Mean> zones = new TreeMap<>();
-    /** By kind of host. */
-    private final Map<Integer, Double> warmRates = new TreeMap<>();
+    /** By kind of host; null until one is asked for after a look. */
+    private Map<Integer, Double> warmRates;
     private final List<Rpc> held = new ArrayList<>();
     /** Hosts that hold call-outs of ours: most hosts hold none of a small router's. */
     private final List<Host> working = new ArrayList<>();
@@ -687,7 +687,7 @@
         return !now.before(rpc.deadline.minus(deployment.tick().times(2)));
     }
 
-    /** Guards against a look that comes late: what is held is answered by its deadline, whenever the look is due. */
+    /** Guards against a look that comes late: what is held is answered by its deadline, looked at or not. */
     private boolean anyAtLastCall() {
         for (Rpc rpc : held) {
             if (lastCall(rpc)) {
@@ -894,7 +894,7 @@
         double warmth = Math.max(0, age.minus(window).over(deployment.warmAfter()));
         double share = deployment.coldShare() + (1 - deployment.coldShare()) * Math.min(1, warmth);
         double everyone = deployment.fallMultiple() * share * window.us() / 1e6 * COLD_MARGIN;
-        double ours = everyone * warmRates.getOrDefault(host.kind, 0.0) * host.size;
+        double ours = everyone * warmRate(host.kind) * host.size;
         double budget = Math.max(COLD_FLOOR / deployment.routers(), ours);
         if (budget >= 1) {
             return host.sends.within(window, now) < (int) budget;
@@ -906,20 +906,26 @@
     }
 
     /**
-     * Our own RPCs that a warm host of each kind has lately served a second, per unit of listed size. Reckoned once
-     * a look: each held RPC asks it of each cold host, and together they would go through all hosts without end.
+     * Our own RPCs that a warm host of this kind has lately served a second, per unit of listed size; reckoned
+     * once a look at the most. Each held RPC asks it of each cold host, and would go through all hosts anew.
      */
-    private void reckonWarmRates() {
-        warmRates.clear();
+    private double warmRate(int kind) {
+        warmRates = warmRates == null ? reckonWarmRates() : warmRates;
+        return warmRates.getOrDefault(kind, 0.0);
+    }
+
+    private Map<Integer, Double> reckonWarmRates() {
+        Map<Integer, Double> rates = new TreeMap<>();
         Map<Integer, Double> sizes = new TreeMap<>();
         for (Host host : hosts.values()) {
             if (sendable(host) && !now.since(host.startedAt).shorterThan(deployment.warmAfter())) {
                 sizes.merge(host.kind, host.size, Double::sum);
-                warmRates.merge(host.kind, host.served.value * lasting(host.served, RATE_OVER), Double::sum);
+                rates.merge(host.kind, host.served.value * lasting(host.served, RATE_OVER), Double::sum);
             }
         }
         double window = RATE_OVER.us() / 1e6 * (1 - Math.exp(-now.since(started).over(RATE_OVER)));
-        warmRates.replaceAll((kind, served) -> window <= 0 ? 0 : served / sizes.get(kind) / window);
+        rates.replaceAll((kind, served) -> window <= 0 ? 0 : served / sizes.get(kind) / window);
+        return rates;
     }
 
     private boolean send(Rpc rpc, Host host) {
@@ -955,7 +961,7 @@
         if (due) {
             nextLook = now.plus(LOOK_EVERY);
             fillBuckets();
-            reckonWarmRates();
+            warmRates = null;
             for (Host host : new ArrayList<>(working)) {
                 noteOverdue(host);
                 listenTo(host);
--- a/router/src/test/java/ironwind/LogicTest.java
+++ b/router/src/test/java/ironwind/LogicTest.java
@@ -475,10 +475,7 @@
         assertThat(scene.asked).endsWith("push back " + write.id);
     }
 
-    /**
-     * Guards against looks whose cost is held RPCs times cold hosts times all hosts: routers with more traffic than
-     * others stood still for up to 0.7 s while hosts were replaced.
-     */
+    /** Guards against looks whose cost is held RPCs times cold hosts times all hosts. */
     @Test
     void aLookAtWhatWaitsForColdHostsCostsNoMoreWhereTheListIsLong() {
         assertThat(costOfLooks(1_024)).isLessThan(8 * costOfLooks(32));
