--- a/router/src/main/java/ironwind/Logic.java
+++ b/router/src/main/java/ironwind/Logic.java
@@ -10,7 +10,8 @@
  * All decisions of one router. A front (the wire's adapter, or a real router) makes one instance per router,
  * brings every event of a batch through {@link Inbound}, then calls {@link #settle}; the module answers by
  * {@link Outbound}. Both stand in {@code ironwind.model}, with the state that only this class writes. It
- * reads no clock but the batch's, draws chance from its seed alone, and is not safe for use by several threads.
+ * reads no clock but the batch's, draws chance from its seed alone, and is not safe for use by several
+ * threads.
  *
  * <p>The ordinary path is the log-position gate of docs/design.md: see {@link #choose}. Whatever is proposed,
  * {@link #gate} is the one place that a send passes. What happens to an RPC stands in {@link #TABLE}.
@@ -907,7 +908,8 @@
 
     /**
      * Our own RPCs that a warm host of this kind has lately served a second, per unit of listed size;
-     * reckoned once a look at the most. Each held RPC asks it of each cold host, and would go through all hosts anew.
+     * reckoned once a look at the most. Each held RPC asks it of each cold host, and would go through
+     * all hosts anew.
      */
     private double warmRate(int kind) {
         warmRates = warmRates == null ? reckonWarmRates() : warmRates;
