--- a/review/src/review/StaleRead.java
+++ b/review/src/review/StaleRead.java
@@ -129,7 +129,7 @@
         List<Host> replicas = new ArrayList<>();
         Host primary = host("s-0", true, now -> now);
         List<Entry> entries = new ArrayList<>(List.of(new Entry(primary, "Ready", 0, "primary")));
-        for (int i = 1; i <= 4; i++) {
+        for (int i = 1; i <= 5; i++) {
             Host replica = host("s-" + i, false, now -> now - REPLICA_LAG_MS);
             replicas.add(replica);
             entries.add(new Entry(replica, "Ready", 0, "replica"));
@@ -145,9 +145,9 @@
         }
         if (bench.trouble) {
             Thread.sleep(8_000);
-            replace(discovery, replicas.get(0), "s-5");
+            replace(discovery, replicas.get(0), "s-6");
             Thread.sleep(3_000);
-            replace(discovery, replicas.get(1), "s-6");
+            replace(discovery, replicas.get(1), "s-7");
         }
         for (Thread client : clients) {
             client.join(RUN_MS);
