--- a/review/run-case.sh
+++ b/review/run-case.sh
@@ -20,6 +20,10 @@
 trap 'kill "$pid" 2>/dev/null' INT TERM
 wait "$pid"
 code=$?
+# The case ends its router itself. Should it have been killed before that, its router is ended here.
+if test -f "$tmp/router.pid" && grep -qs "$tmp" "/proc/$(cat "$tmp/router.pid")/environ"; then
+  kill -9 "$(cat "$tmp/router.pid")" 2>/dev/null
+fi
 if test -f "$tmp/router.log"; then
   { echo "the router's log:"; cut -c1-300 "$tmp/router.log" | grep -v ' client_malformed ' | tail -40; } >> "$record"
 fi
--- a/review/src/review/Bench.java
+++ b/review/src/review/Bench.java
@@ -624,6 +624,7 @@
             builder.redirectError(folder.resolve("router.log").toFile());
             process = builder.start();
             closing(this);
+            Files.writeString(folder.resolve("router.pid"), Long.toString(process.pid()));
             record("router started, pid " + process.pid());
             awaitReady();
         }
