--- a/review/src-2/rig/HostStandIn.java
+++ b/review/src-2/rig/HostStandIn.java
@@ -58,8 +58,16 @@
 
     private final AtomicReference<String> report = new AtomicReference<>("");
 
-    /** What the next answer gives as its position; null for the true one. */
-    private final AtomicReference<String> spoiltPosition = new AtomicReference<>();
+    /** What is wrong with the next answer; null for nothing. */
+    private final AtomicReference<Spoilt> spoilt = new AtomicReference<>();
+
+    /**
+     * An answer that arrives spoilt.
+     *
+     * @param tag its command tag; null for the right one
+     * @param position the position that it gives; null for the right one
+     */
+    record Spoilt(String tag, String position) {}
 
     /** When answers that named it a replica were written. */
     private final List<Long> replicaAnswers = Collections.synchronizedList(new ArrayList<>());
@@ -85,9 +93,9 @@
         }
     }
 
-    /** Gives the next answer another position than the true one. */
-    void spoilNextPosition(String text) {
-        spoiltPosition.set(text);
+    /** Spoils the next answer. */
+    void spoilNext(Spoilt what) {
+        spoilt.set(what);
     }
 
     /** Returns when answers that named it a replica were written, in Unix milliseconds. */
@@ -167,19 +175,20 @@
         Sockets.sleep(serviceMs);
         boolean write = !sql.contains("SELECT");
         long after = System.currentTimeMillis();
-        byte[] result = write && !role.equals("primary")
-                ? Wire.error("25006", "not the primary")
-                : Wire.row(value(sql), write ? "INSERT 0 1" : "SELECT 1");
         String told = role;
-        String spoilt = spoiltPosition.getAndSet(null);
-        if (spoilt != null) {
-            record.add("host " + id + " spoils its answer to " + send.id() + ": a position of "
-                    + spoilt.length() + " digits");
+        String tag = write ? "INSERT 0 1" : "SELECT 1";
+        String applied = Long.toString(position.applyAsLong(after));
+        Spoilt wrong = spoilt.getAndSet(null);
+        if (wrong != null) {
+            record.add("host " + id + " spoils its answer to " + send.id());
+            tag = wrong.tag() == null ? tag : wrong.tag();
+            applied = wrong.position() == null ? applied : wrong.position();
         }
+        byte[] result = write && !told.equals("primary")
+                ? Wire.error("25006", "not the primary")
+                : Wire.row(value(sql), tag);
         write(socket, result, Wire.parameter("role", told),
-                Wire.parameter("applied_ms", spoilt != null ? spoilt
-                        : Long.toString(position.applyAsLong(after))),
-                Wire.readyForQuery());
+                Wire.parameter("applied_ms", applied), Wire.readyForQuery());
         if (told.equals("replica")) {
             replicaAnswers.add(System.currentTimeMillis());
         }
