--- a/review/src-2/rig/HostStandIn.java
+++ b/review/src-2/rig/HostStandIn.java
@@ -25,6 +25,10 @@
 final class HostStandIn {
     private static final String HOME = "127.0.0.1";
     private static final int DEFAULT_VALUE_BYTES = 24;
+
+    /** How long a thread that hung takes until it goes on where it was. */
+    private static final long RESUME_MS = 30;
+
     private static final long REPORT_PERIOD_MS = 200;
     private static final long REPORT_DELAY_MS = 60;
 
@@ -53,6 +57,12 @@
     /** How long a request takes. */
     volatile long serviceMs = 10;
 
+    /** Whether it takes requests and answers none. */
+    private volatile boolean hanging;
+
+    /** Whether it hangs in the middle of its next answer. */
+    private volatile boolean hangsInNextAnswer;
+
     /** Whether it answers SHOW load with a report. */
     volatile boolean reportsLoad;
 
@@ -93,6 +103,27 @@
         }
     }
 
+    /** Hangs in the middle of its next answer, after its row and before its end. */
+    void hangInNextAnswer() {
+        hangsInNextAnswer = true;
+    }
+
+    boolean hangs() {
+        return hanging;
+    }
+
+    /** Goes on: what it holds is answered now. */
+    void resume() {
+        hanging = false;
+        record.add("host " + id + " goes on as a " + role);
+    }
+
+    private void awaitResume() {
+        while (hanging) {
+            Sockets.sleep(1);
+        }
+    }
+
     /** Spoils the next answer. */
     void spoilNext(Spoilt what) {
         spoilt.set(what);
@@ -162,6 +193,7 @@
         }
         Map<String, String> comment = Wire.comment(sql);
         if (!comment.containsKey("id")) {
+            awaitResume();
             write(socket, probeAnswer(sql.strip()), Wire.readyForQuery());
             return;
         }
@@ -173,6 +205,7 @@
                 + " ms old) gets " + send.id() + " " + comment.get("c") + " d="
                 + comment.get("d"));
         Sockets.sleep(serviceMs);
+        awaitResume();
         boolean write = !sql.contains("SELECT");
         long after = System.currentTimeMillis();
         String told = role;
@@ -184,11 +217,25 @@
             tag = wrong.tag() == null ? tag : wrong.tag();
             applied = wrong.position() == null ? applied : wrong.position();
         }
-        byte[] result = write && !told.equals("primary")
-                ? Wire.error("25006", "not the primary")
-                : Wire.row(value(sql), tag);
-        write(socket, result, Wire.parameter("role", told),
-                Wire.parameter("applied_ms", applied), Wire.readyForQuery());
+        byte[] parameters = Wire.join(Wire.parameter("role", told),
+                Wire.parameter("applied_ms", applied));
+        if (write && !told.equals("primary")) {
+            // A write that a primary still held when it was replaced ends in an error.
+            boolean held = send.role().equals("primary");
+            write(socket, parameters, Wire.error(held ? "XX000" : "25006", "not the primary"),
+                    Wire.readyForQuery());
+        } else if (hangsInNextAnswer) {
+            hangsInNextAnswer = false;
+            hanging = true;
+            write(socket, parameters, Wire.row(value(sql), tag));
+            record.add("host " + id + " hangs before the end of its answer to " + send.id());
+            awaitResume();
+            Sockets.sleep(RESUME_MS);
+            record.add("host " + id + " ends its answer to " + send.id());
+            write(socket, Wire.readyForQuery());
+        } else {
+            write(socket, parameters, Wire.row(value(sql), tag), Wire.readyForQuery());
+        }
         if (told.equals("replica")) {
             replicaAnswers.add(System.currentTimeMillis());
         }
@@ -208,7 +255,7 @@
     private void refreshReport() {
         while (true) {
             long now = System.currentTimeMillis();
-            if (!listener.isClosed()) {
+            if (!listener.isClosed() && !hanging) {
                 String next = String.format(Locale.ROOT, "x0=%.3f,x1=%d,inflight=1,util=0.31",
                         position.applyAsLong(now) / 1e3, role.equals("primary") ? 1 : 0);
                 Sockets.sleep(REPORT_DELAY_MS);
--- a/review/src-2/rig/Settings.java
+++ b/review/src-2/rig/Settings.java
@@ -23,6 +23,7 @@
     private final Map<String, String> extra = new LinkedHashMap<>();
     private final Map<String, String> caps = new LinkedHashMap<>();
     private final Map<String, String> rules = new LinkedHashMap<>();
+    private String probePrice = "0.01";
     private String reports = "{\"fields\":[],\"via\":\"off\"}";
 
     Settings() {
@@ -61,6 +62,24 @@
                 .write("move-write", "dedup", 3_000, 1_200, 2_000);
     }
 
+    /** Returns settings like those of acervo-poa. */
+    static Settings acervo() {
+        Settings settings = new Settings().read("busca-acervo", "recent", 500, 2_500, 800)
+                .read("ver-proprio", "own_writes", 0, 1_500, 400)
+                .read("relatorio-vendas", "loose", 0, 10_000, 5_000)
+                .write("gravar-foto", "dedup", 5_000, 1_000, 5_000)
+                .extra("list_role", "\"initial\"").extra("token_mode", "\"router\"")
+                .cap("parallel_tries", "false").cap("retry_after", "false");
+        settings.rules.put("drain_grace_us", "1000000");
+        settings.rules.put("cold_from", "0.24");
+        settings.rules.put("fall_multiple", "3.0");
+        settings.rules.put("fall_us", "2000000");
+        settings.probePrice = "0.04";
+        settings.reports = "{\"fields\":[\"x0\",\"x1\",\"busy_reqs\",\"cpu_share\"],"
+                + "\"via\":\"on_probe\"}";
+        return settings;
+    }
+
     /** Returns settings like those of wgtn-games. */
     static Settings wgtn() {
         Settings settings = new Settings().read("board-view", "recent", 800, 1_500, 500)
@@ -108,7 +127,7 @@
                 + "\"me\":0,\"zone\":0,\"zones\":[\"a\"],\"kinds\":[\"m1\"],\"tenants\":[],"
                 + "\"discovery\":\"push\",\"kind_of_service\":\"replicas\",\"weight_kind\":"
                 + "\"rough\",\"clients\":{\"marks_retry\":true},\"over_share_worth\":0.1,"
-                + "\"reporting\":" + reports + ",\"prices\":{\"probe\":0.01,"
+                + "\"reporting\":" + reports + ",\"prices\":{\"probe\":" + probePrice + ","
                 + "\"waste\":0.08,\"late_fail\":0.08,\"cross_zone\":0.031},\"extra\":{"
                 + pairs(extra) + ",\"lag_allowed_us\":["
                 + join(lanes, lane -> Long.toString(lane.lagAllowedUs())) + "],\"read_level\":["
