--- a/review/run-case-2.sh
+++ b/review/run-case-2.sh
@@ -4,4 +4,5 @@
 cd "$(dirname "$0")/.." || exit 2
 [ -d review/target/build-2 ] || { echo "run review/build-2.sh first"; exit 2; }
 [ -f router/target/ironwind-router.jar ] || { echo "run the build of deploy/balancer.toml first"; exit 2; }
-exec java -cp review/target/build-2 "rig.$2" "review/$1"
+command -v java >/dev/null || { echo "java is missing"; exit 2; }
+exec java -Xmx1g -cp review/target/build-2 "rig.$2" "review/$1"
--- a/review/src-2/rig/Case.java
+++ b/review/src-2/rig/Case.java
@@ -55,18 +55,23 @@
         watchdog.start();
         trouble = !"0".equals(System.getenv("TROUBLE"));
         folder = Files.createTempDirectory("review");
+        Runtime.getRuntime().addShutdownHook(new Thread(this::deleteFolder));
         int code;
         try (Record file = new Record(Path.of(arguments[0], "record.txt"))) {
             record = file;
             code = judge();
-        } finally {
-            try (Stream<Path> files = Files.walk(folder)) {
-                files.sorted(Comparator.reverseOrder()).forEach(path -> path.toFile().delete());
-            }
         }
         System.exit(code);
     }
 
+    private void deleteFolder() {
+        try (Stream<Path> files = Files.walk(folder)) {
+            files.sorted(Comparator.reverseOrder()).forEach(path -> path.toFile().delete());
+        } catch (IOException e) {
+            System.out.println("the temporary folder stays: " + e);
+        }
+    }
+
     private int judge() {
         String verdict;
         int code;
