--- a/review/src-2/rig/LateRole.java
+++ b/review/src-2/rig/LateRole.java
@@ -47,6 +47,11 @@
             discovery.set(host, 0, "Ready", 0, "replica");
         }
         first.reportsLoad = true;
+        // A second group, so that the host that hangs is one of ten; nothing is asked of it.
+        for (String id : List.of("s-f6", "s-g7", "s-h8", "s-i9", "s-j0")) {
+            String role = id.equals("s-f6") ? "primary" : "replica";
+            discovery.set(new HostStandIn(id, role, record), 1, "Ready", 0, role);
+        }
         try (RouterProcess router =
                 RouterProcess.start(Settings.acervo(), discovery, folder, record)) {
             Sockets.daemon("client", () -> read(router.port));
