--- a/router/src/main/java/ironwind/pg/HostMessage.java
+++ b/router/src/main/java/ironwind/pg/HostMessage.java
@@ -17,7 +17,19 @@
     /** The form of an SQLSTATE code. */
     Pattern SQLSTATE = Pattern.compile("[0-9A-Z]{5}");
 
-    /** The form of a command tag. */
+    /** Largest command tag, in bytes: PostgreSQL's own limit. */
+    int MAX_COMMAND_TAG_BYTES = 64;
+
+    /**
+     * Largest body of an ErrorResponse, in bytes. Its fields have two bytes at least, and an object
+     * is created for each.
+     */
+    int MAX_ERROR_BYTES = 16 * 1024;
+
+    /**
+     * The form of a command tag. Matching it takes a level of recursion for each number, so the
+     * length is checked first.
+     */
     Pattern COMMAND_TAG = Pattern.compile("[A-Z]+( [0-9]+)*");
 
     /** An AuthenticationOk. */
@@ -120,6 +132,10 @@
     }
 
     private static String decodeCommandTag(byte[] body) {
+        check(
+                body.length <= MAX_COMMAND_TAG_BYTES,
+                body,
+                "CommandComplete has a tag that is too long");
         String tag = WireFormat.readSoleString(body);
         check(COMMAND_TAG.matcher(tag).matches(), body, "CommandComplete has a malformed tag");
         return tag;
@@ -133,6 +149,7 @@
     }
 
     private static PgError decodeError(byte[] body) {
+        check(body.length <= MAX_ERROR_BYTES, body, "ErrorResponse is too long");
         String sqlState = "";
         String message = "";
         String detail = null;
--- a/router/src/test/java/ironwind/net/ScriptedHost.java
+++ b/router/src/test/java/ironwind/net/ScriptedHost.java
@@ -35,6 +35,10 @@
     final BlockingQueue<String> connectionEnds = new LinkedBlockingQueue<>();
     final CountDownLatch release = new CountDownLatch(1);
     volatile String[] actions = {"row"};
+
+    /** What the action {@code scripted bytes} sends. */
+    volatile byte[] scriptedBytes;
+
     volatile int acceptedConnections;
     volatile int possibleExecutions;
     private int nextAction;
@@ -197,6 +201,7 @@
                             connection,
                             Encoder.readyForQuery(),
                             "noise".getBytes(StandardCharsets.UTF_8));
+            case "scripted bytes" -> connection.send(scriptedBytes);
             case "garbage" -> connection.send("what is this?".getBytes(StandardCharsets.UTF_8));
             case "reset" -> connection.socket.setSoLinger(true, 0);
             default -> {}
--- a/router/src/test/java/ironwind/pg/PgTest.java
+++ b/router/src/test/java/ironwind/pg/PgTest.java
@@ -164,6 +164,25 @@
                         new HostMessage.ReadyForQuery());
     }
 
+    /** Guards against a command tag that is matched by deep recursion before it is measured. */
+    @ParameterizedTest
+    @ValueSource(ints = {64, 2_000, 500_000})
+    void longCommandTagsAreRejected(int repetitions) {
+        Row row =
+                new Row(
+                        Row.ofText("val", "x").description(),
+                        new byte[] {0, 1, -1, -1, -1, -1},
+                        "SELECT" + " 1".repeat(repetitions));
+        FrameDecoder decoder = new FrameDecoder(false, HostMessage.TYPES, 1 << 20);
+        decoder.add(Encoder.singleRowResult(row));
+        assertThat(HostMessage.decode(decoder.next()))
+                .isInstanceOf(HostMessage.RowDescription.class);
+        assertThat(HostMessage.decode(decoder.next())).isInstanceOf(HostMessage.DataRow.class);
+        Frame commandComplete = decoder.next();
+        assertThatThrownBy(() -> HostMessage.decode(commandComplete))
+                .isInstanceOf(PgException.class);
+    }
+
     @Test
     void errorsKeepSqlStateMessageAndDetail() {
         PgError error = new PgError(PgError.TOO_MANY_CONNECTIONS, "full", "250");
