--- a/router/src/main/java/ironwind/net/HostAnswer.java
+++ b/router/src/main/java/ironwind/net/HostAnswer.java
@@ -26,6 +26,15 @@
      */
     private static final int MAX_DIGITS = 15;
 
+    /**
+     * Longest text of a number: sign, digits, decimal point and exponent. The cost of parsing grows
+     * with the square of the length.
+     */
+    private static final int MAX_NUMBER_CHARS = 64;
+
+    /** Largest row of a load report, in bytes. A report has a few short values. */
+    private static final int MAX_LOAD_REPORT_BYTES = 8 * 1024;
+
     /** How far a position may be ahead of the clock, because hosts may round up to milliseconds. */
     private static final Span ROUNDING_TOLERANCE = Span.ofMillis(1);
 
@@ -168,9 +177,13 @@
         return position.after(now.plus(ROUNDING_TOLERANCE)) ? Moment.NEVER : position;
     }
 
-    /** Returns a value of the load report, a list of name=value pairs; null if it is missing. */
+    /**
+     * Returns a value of the load report, a list of name=value pairs; null if it is missing or the
+     * report is too large.
+     */
     private String loadReportValue(String name) {
-        String report = dataRow == null ? null : row().text();
+        boolean readable = dataRow != null && dataRow.length <= MAX_LOAD_REPORT_BYTES;
+        String report = readable ? row().text() : null;
         if (report != null) {
             for (String pair : report.split(",")) {
                 int equals = pair.indexOf('=');
@@ -182,14 +195,16 @@
         return null;
     }
 
-    /** Returns null if the text is missing, not a number or out of range. */
+    /** Returns null if the text is missing, too long, not a number or out of range. */
     private static BigDecimal parseNumber(String text) {
+        if (text == null || text.length() > MAX_NUMBER_CHARS) {
+            return null;
+        }
         try {
-            BigDecimal number = text == null ? null : new BigDecimal(text);
-            boolean inRange =
-                    number != null
-                            && number.precision() - number.scale() <= MAX_DIGITS
-                            && number.scale() <= MAX_DIGITS;
+            BigDecimal number = new BigDecimal(text);
+            // In 64 bits, because an exponent may take the whole range of 32 bits.
+            long integerDigits = (long) number.precision() - number.scale();
+            boolean inRange = integerDigits <= MAX_DIGITS && number.scale() <= MAX_DIGITS;
             return inRange ? number : null;
         } catch (NumberFormatException e) {
             return null;
--- a/router/src/main/java/ironwind/pg/HostMessage.java
+++ b/router/src/main/java/ironwind/pg/HostMessage.java
@@ -20,6 +20,9 @@
     /** Largest command tag, in bytes: PostgreSQL's own limit. */
     int MAX_COMMAND_TAG_BYTES = 64;
 
+    /** Largest name and value of a ParameterStatus, in bytes; a larger parameter is ignored. */
+    int MAX_PARAMETER_BYTES = 8 * 1024;
+
     /**
      * Largest body of an ErrorResponse, in bytes. Its fields have two bytes at least, and an object
      * is created for each.
@@ -93,8 +96,14 @@
         return new AuthenticationOk();
     }
 
-    /** Ignores a malformed parameter, because the answer that it came with is valid without it. */
+    /**
+     * Ignores a malformed or oversized parameter, because the answer that it came with is valid
+     * without it.
+     */
     private static HostMessage decodeParameterStatus(byte[] body) {
+        if (body.length > MAX_PARAMETER_BYTES) {
+            return new Ignored();
+        }
         try {
             String name = WireFormat.readString(body, 0);
             return new ParameterStatus(name, WireFormat.readString(body, name.length() + 1));
--- a/router/src/test/java/ironwind/net/HostAnswerTest.java
+++ b/router/src/test/java/ironwind/net/HostAnswerTest.java
@@ -6,8 +6,10 @@
 import ironwind.model.Role;
 import ironwind.pg.HostMessage;
 import ironwind.pg.Row;
+import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
 
 class HostAnswerTest {
     private static final Moment NOW = Moment.ofMillis(1767225600124L);
@@ -26,6 +28,9 @@
         ", primary, , PRIMARY",
         "1e400000000, primary, , PRIMARY",
         "1e-400000000, primary, , PRIMARY",
+        "1e2147483647, primary, , PRIMARY",
+        "1e-2147483647, primary, , PRIMARY",
+        "17672256001.23e2, primary, 1767225600123000, PRIMARY",
         "NaN, primary, , PRIMARY",
         "1767225600125, primary, 1767225600125000, PRIMARY",
         "1767225600126, primary, , PRIMARY"
@@ -40,6 +45,22 @@
         assertThat(answer.role()).isEqualTo(expectedRole);
     }
 
+    /** Guards against a number whose digits are computed with before they are counted. */
+    @ParameterizedTest
+    @ValueSource(ints = {100, 3_000, 2_000_000})
+    @Timeout(value = 5, threadMode = Timeout.ThreadMode.SEPARATE_THREAD)
+    void longNumbersAreNoPositions(int digits) {
+        String number = "1".repeat(digits);
+        HostAnswer answer = new HostAnswer();
+        answer.add(new HostMessage.ParameterStatus("applied_ms", number));
+        assertThat(answer.position(NOW)).isEqualTo(Moment.NEVER);
+        Row row = Row.ofText("load", "x1=" + number + ",x0=" + number);
+        answer.add(new HostMessage.RowDescription(row.description()));
+        answer.add(new HostMessage.DataRow(row.data()));
+        assertThat(answer.loadReportPosition(NOW)).isEqualTo(Moment.NEVER);
+        assertThat(answer.loadReportRole()).isEqualTo(Role.UNKNOWN);
+    }
+
     @ParameterizedTest(name = "{0}: {1}, {2}")
     @CsvSource(
             delimiter = '|',
@@ -47,6 +68,7 @@
                 "inflight=7,x0=1767225600.1239999,x1=1 | 1767225600123999 | PRIMARY",
                 "x1=0.0,x0=1767225600 | 1767225600000000 | REPLICA",
                 "util=0.61 | | UNKNOWN",
+                "x0=1e2147483647,x1=1e2147483647 | | UNKNOWN",
                 "x0,x1=,x00=5 | | UNKNOWN"
             })
     void readsPositionAndRoleFromTheRowOfALoadReport(
--- a/router/src/test/java/ironwind/net/SpoiltAnswerTest.java
+++ b/router/src/test/java/ironwind/net/SpoiltAnswerTest.java
@@ -4,6 +4,7 @@
 
 import ironwind.pg.Encoder;
 import ironwind.pg.Row;
+import java.util.Map;
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
@@ -19,6 +20,7 @@
         PgConnection client = publishHostsAndConnect();
         client.send(request(READ_TEMPLATE, PROMPT_MS));
         assertThat(client.readResponse()).isEqualTo("TDCZ");
+        assertReadSucceeds(client);
         assertReadSucceeds(connectClient());
         assertThat(logOutput.toString()).doesNotContain("fault", "library");
     }
@@ -32,4 +34,24 @@
         assertOthersAreServedAfter(
                 Encoder.singleRowResult(new Row(row.description(), row.data(), tag)));
     }
+
+    /** Guards against one long position that keeps the event loop busy. */
+    @ParameterizedTest
+    @ValueSource(ints = {10_000, 500_000})
+    void longPositionIsIgnored(int digits) throws Exception {
+        assertOthersAreServedAfter(answerWithPosition("1".repeat(digits)));
+    }
+
+    /** Guards against an exponent that overflows, after which the end of a call-out gets lost. */
+    @ParameterizedTest
+    @ValueSource(strings = {"1E+2147483647", "1E+2147483646", "1E-2147483647", "-1E+2147483647"})
+    void positionWithHugeExponentIsIgnored(String position) throws Exception {
+        assertOthersAreServedAfter(answerWithPosition(position));
+        assertThat(replica.requests).hasSize(3);
+    }
+
+    private static byte[] answerWithPosition(String position) {
+        return Encoder.singleRowResult(
+                Row.ofText("val", "x"), Map.of("role", "replica", "applied_ms", position));
+    }
 }
