--- a/router/src/main/java/ironwind/idle/TrackedConnection.java
+++ b/router/src/main/java/ironwind/idle/TrackedConnection.java
@@ -25,6 +25,12 @@
     /** Position in the read queue; null while it is not queued. */
     ConnectionQueue.Node readNode;
 
+    /** Position among the connections with further commands; null while it is not one of them. */
+    ConnectionQueue.Node commandNode;
+
+    /** Commands that it has executed since its last turn began or its socket was polled. */
+    int commandsInARow;
+
     /** When it entered its state, in microseconds of {@link MonotonicTime}. */
     long stateSince;
 
--- a/router/src/main/java/ironwind/net/ClientConnection.java
+++ b/router/src/main/java/ironwind/net/ClientConnection.java
@@ -13,6 +13,9 @@
 import ironwind.pg.Statement;
 import ironwind.pg.WireFormat;
 import java.nio.channels.SocketChannel;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
 import java.util.function.Function;
 
 /**
@@ -30,6 +33,9 @@
     /** Bytes of the memory budget that are reserved for that input. */
     private int reservedBytes;
 
+    /** Answers that are written at the end of the current step; null if there are none. */
+    private List<byte[]> output;
+
     /** Unanswered commands, a list linked by {@link Exchange#next}; null if there is none. */
     private Exchange firstPending;
 
@@ -78,6 +84,7 @@
 
     @Override
     public void onReadable() {
+        connections.commandTurns.recordPoll(this);
         if (!closed && connections.readNowOrEnqueue(this)) {
             read();
         } else {
@@ -116,9 +123,14 @@
         connections.resetQueueTime(this);
     }
 
+    /** Executes commands that have arrived earlier, in a turn of the connection. */
+    void executeBufferedCommands() {
+        processInput();
+    }
+
     /**
-     * Executes the commands that have arrived, until too many are unanswered or too many bytes of
-     * answers are unsent.
+     * Executes the commands that have arrived, until it is the turn of others, too many are
+     * unanswered or too many bytes of answers are unsent.
      */
     private void processInput() {
         if (processing) {
@@ -130,32 +142,50 @@
             Frame frame = nextFrame();
             while (frame != null) {
                 handled = true;
+                connections.commandTurns.recordCommand(this);
                 handle(ClientMessage.decode(frame));
                 frame = nextFrame();
             }
+            if (hasFurtherCommand()) {
+                connections.commandTurns.defer(this);
+            }
             updateReservation();
         } catch (PgException e) {
             closeForError(e);
         } finally {
             processing = false;
         }
+        flush();
         updateState(handled);
     }
 
     private Frame nextFrame() {
-        return frameDecoder == null
-                        || closed
-                        || pendingEnding == Ending.CLIENT_FATAL_ERROR
-                        || shouldPauseReading()
-                ? null
-                : frameDecoder.next();
+        return mayExecute() && connections.commandTurns.mayExecute(this)
+                ? frameDecoder.next()
+                : null;
     }
 
-    private boolean shouldPauseReading() {
+    /** Returns whether commands are executed that have arrived, if it is the connection's turn. */
+    private boolean mayExecute() {
+        return frameDecoder != null
+                && !closed
+                && pendingEnding != Ending.CLIENT_FATAL_ERROR
+                && !hasTooManyAnswersDue();
+    }
+
+    private boolean hasFurtherCommand() {
+        return mayExecute() && frameDecoder.hasNext();
+    }
+
+    private boolean hasTooManyAnswersDue() {
         return pendingCount >= connections.maxPendingCommands()
                 || connections.isOverUnsentLimit(this);
     }
 
+    private boolean shouldPauseReading() {
+        return hasTooManyAnswersDue() || connections.commandTurns.isWaiting(this);
+    }
+
     /** Reserves memory for the input that is left, or discards the decoder if there is none. */
     private void updateReservation() {
         int size = frameDecoder == null ? 0 : frameDecoder.compact();
@@ -303,8 +333,20 @@
         processInput();
     }
 
+    /**
+     * Writes at the end of the current step, so that the answers of several commands go at once.
+     */
     private void write(byte[]... parts) {
         if (!closed) {
+            output = output == null ? new ArrayList<>() : output;
+            output.addAll(Arrays.asList(parts));
+        }
+    }
+
+    private void flush() {
+        if (!closed && output != null) {
+            byte[][] parts = output.toArray(new byte[0][]);
+            output = null;
             int unsentBytes = socket.write(parts);
             if (unsentBytes > 0 && !closed) {
                 connections.addUnsent(this, unsentBytes);
@@ -406,6 +448,7 @@
         if (!closed) {
             closed = true;
             socket.close();
+            output = null;
             discardInput();
             Exchange unanswered = firstPending;
             firstPending = null;
--- a/router/src/main/java/ironwind/net/ClientConnections.java
+++ b/router/src/main/java/ironwind/net/ClientConnections.java
@@ -58,7 +58,9 @@
     /** Lag of the event loop above which it is logged. */
     private static final Span LAG_WARNING_THRESHOLD = Span.ofMillis(200);
 
-    /** Connections closed in one event loop task, so that the others are served in between. */
+    /**
+     * Connections closed before sockets are polled again, so that the others are served in between.
+     */
     private static final int CLOSE_BATCH_SIZE = 256;
 
     /**
@@ -101,6 +103,9 @@
     private final MonotonicTime monotonicTime = new MonotonicTime(MAX_TIME_STEP);
     private final Show show;
 
+    /** Schedules commands of connections that have sent many at once. */
+    final CommandTurns commandTurns;
+
     /** Empty queries, which are not answered until the router is ready. */
     private final List<Exchange> readinessChecks = new ArrayList<>();
 
@@ -141,6 +146,7 @@
         this.budget = budget;
         this.unsentAnswers = new UnsentAnswers(limits, budget);
         this.readScheduler = new ReadScheduler(limits, budget);
+        this.commandTurns = new CommandTurns(limits.turnDuration(), timers, this::now);
         this.show =
                 new Show(
                         counters,
@@ -148,6 +154,7 @@
                         budget,
                         unsentAnswers,
                         readScheduler,
+                        commandTurns.scheduler(),
                         monotonicTime,
                         logicTask);
     }
@@ -322,7 +329,7 @@
             due = connectionManager.nextExpired(now);
         }
         if (due != null) {
-            executeLater(this::closeExpired);
+            timers.executeAfterPoll(this::closeExpired);
         }
     }
 
@@ -366,13 +373,13 @@
     private void scheduleTurn() {
         if (!turnScheduled) {
             turnScheduled = true;
-            timers.execute(this::runTurn);
+            timers.executeAfterPoll(this::runTurn);
         }
     }
 
     /**
-     * Reads queued connections for one turn. The next turn is a new task, so the event loop polls
-     * the sockets in between and active connections are read first.
+     * Reads queued connections for one turn. Sockets are polled before the next turn, so active
+     * connections are read first.
      */
     private void runTurn() {
         turnScheduled = false;
@@ -649,7 +656,7 @@
             next = connectionManager.evictionCandidate();
         }
         if (next != null) {
-            executeLater(this::drainBatch);
+            timers.executeAfterPoll(this::drainBatch);
         }
     }
 
--- a/router/src/main/java/ironwind/net/Show.java
+++ b/router/src/main/java/ironwind/net/Show.java
@@ -2,6 +2,7 @@
 
 import io.netty.util.internal.PlatformDependent;
 import ironwind.idle.CloseReason;
+import ironwind.idle.CommandScheduler;
 import ironwind.idle.ConnectionManager;
 import ironwind.idle.ConnectionState;
 import ironwind.idle.MemoryBudget;
@@ -19,11 +20,15 @@
 final class Show {
     private static final List<String> NAME_AND_VALUE = List.of("name", "value");
 
+    /** Longest command; the cost of splitting a text into words grows with it. */
+    private static final int MAX_COMMAND_CHARS = 64;
+
     private final Counters counters;
     private final ConnectionManager connectionManager;
     private final MemoryBudget budget;
     private final UnsentAnswers unsentAnswers;
     private final ReadScheduler readScheduler;
+    private final CommandScheduler commandScheduler;
     private final MonotonicTime monotonicTime;
     private final LogicTask logicTask;
 
@@ -34,6 +39,7 @@
             MemoryBudget budget,
             UnsentAnswers unsentAnswers,
             ReadScheduler readScheduler,
+            CommandScheduler commandScheduler,
             MonotonicTime monotonicTime,
             LogicTask logicTask) {
         this.counters = counters;
@@ -41,6 +47,7 @@
         this.budget = budget;
         this.unsentAnswers = unsentAnswers;
         this.readScheduler = readScheduler;
+        this.commandScheduler = commandScheduler;
         this.monotonicTime = monotonicTime;
         this.logicTask = logicTask;
     }
@@ -50,6 +57,9 @@
      * {@code SHOW memory}, or null for any other statement.
      */
     byte[] answerTo(String text) {
+        if (text.length() > MAX_COMMAND_CHARS) {
+            return null;
+        }
         String[] words = text.replace(";", "").strip().toLowerCase(Locale.ROOT).split("\\s+");
         if (words.length != 2 || !words[0].equals("show")) {
             return null;
@@ -90,6 +100,8 @@
         add(rows, "most_waiting_for_turn", readScheduler.peakQueueSize());
         add(rows, "turns_deferred", readScheduler.deferredReads());
         add(rows, "turns_too_late", readScheduler.overdueReads());
+        add(rows, "waiting_with_commands", commandScheduler.queueSize());
+        add(rows, "commands_deferred", commandScheduler.deferrals());
         add(rows, "paused_ms", monotonicTime.skipped().us() / 1_000);
         for (CloseReason reason : CloseReason.values()) {
             add(
--- a/router/src/main/java/ironwind/net/Timers.java
+++ b/router/src/main/java/ironwind/net/Timers.java
@@ -37,7 +37,17 @@
         loop.scheduleAtFixedRate(guarded(action), period.us(), period.us(), TimeUnit.MICROSECONDS);
     }
 
-    /** Runs an action on the loop after the current one. */
+    /**
+     * Runs an action on the loop after the sockets that are ready now have been handled, and never
+     * in the same pass of the loop as the current action. Work that is done in parts yields between
+     * them with this: the loop runs actions of {@link #execute} one after another, also those that
+     * they add, for up to a second before it polls sockets again.
+     */
+    void executeAfterPoll(Runnable action) {
+        loop.schedule(guarded(action), 1, TimeUnit.MICROSECONDS);
+    }
+
+    /** Runs an action on the loop after the current one, before sockets are polled again. */
     void execute(Runnable action) {
         loop.execute(guarded(action));
     }
--- a/router/src/main/java/ironwind/pg/FrameDecoder.java
+++ b/router/src/main/java/ironwind/pg/FrameDecoder.java
@@ -89,11 +89,10 @@
             throw new PgException(
                     PgException.PROTOCOL_VIOLATION, "message length is less than " + LENGTH_BYTES);
         }
-        int limit = startup ? Math.min(MAX_STARTUP_BYTES, maxBodyBytes) : maxBodyBytes;
-        if (length > limit) {
+        if (length > limit()) {
             throw new PgException(
                     PgException.PROGRAM_LIMIT_EXCEEDED,
-                    "message body has " + length + " bytes, at most " + limit + " are allowed");
+                    "message body has " + length + " bytes, at most " + limit() + " are allowed");
         }
         int body = readIndex + typeBytes + LENGTH_BYTES;
         if (writeIndex - body < length) {
@@ -109,6 +108,24 @@
         return frame;
     }
 
+    /** Returns whether {@link #next} has a frame, or throws because of an invalid header. */
+    public boolean hasNext() {
+        int typeBytes = startup ? 0 : 1;
+        int buffered = writeIndex - readIndex;
+        if (!startup && buffered > 0 && types.indexOf(buffer[readIndex] & 0xff) < 0) {
+            return true;
+        }
+        if (buffered < typeBytes + LENGTH_BYTES) {
+            return false;
+        }
+        int length = WireFormat.readInt32(buffer, readIndex + typeBytes) - LENGTH_BYTES;
+        return length < 0 || length > limit() || buffered - typeBytes - LENGTH_BYTES >= length;
+    }
+
+    private int limit() {
+        return startup ? Math.min(MAX_STARTUP_BYTES, maxBodyBytes) : maxBodyBytes;
+    }
+
     /** Ends the startup phase: all further messages have a type byte. */
     public void startupDone() {
         startup = false;
--- /dev/null
+++ b/router/src/test/java/ironwind/net/FloodTest.java
@@ -0,0 +1,107 @@
+package ironwind.net;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import ironwind.Logic;
+import ironwind.model.Inbound;
+import ironwind.pg.Encoder;
+import java.io.ByteArrayOutputStream;
+import java.io.PrintStream;
+import java.lang.reflect.Proxy;
+import java.nio.charset.StandardCharsets;
+import java.util.concurrent.CountDownLatch;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** A client that sends many small commands at once, beside another that sends one. */
+@Timeout(value = 20, threadMode = Timeout.ThreadMode.SEPARATE_THREAD)
+class FloodTest extends RouterFixture {
+    /** Bytes that a router reads at once. */
+    private static final int FLOOD_BYTES = 64 * 1024;
+
+    /** Commands of one client that may be executed before those of another. */
+    private static final int MAX_COMMANDS_BEFORE_OTHERS = 100;
+
+    private static final Pattern MALFORMED = Pattern.compile("malformed=(\\d+)");
+    private static final Pattern FAULTS = Pattern.compile("faults=(\\d+)");
+
+    private final CountDownLatch loopBlocked = new CountDownLatch(1);
+    private final CountDownLatch loopReleased = new CountDownLatch(1);
+
+    /** Creates a router whose event loop blocks in the arrival of the first RPC. */
+    private Router newBlockableRouter() {
+        return new Router(
+                        config,
+                        new Log(new PrintStream(logOutput, true)),
+                        outbound -> {
+                            Inbound logic = new Logic(config.deployment(), config.seed(), outbound);
+                            return (Inbound)
+                                    Proxy.newProxyInstance(
+                                            getClass().getClassLoader(),
+                                            new Class<?>[] {Inbound.class},
+                                            (proxy, method, arguments) -> {
+                                                if (method.getName().equals("onRpcArrived")) {
+                                                    loopBlocked.countDown();
+                                                    loopReleased.await();
+                                                }
+                                                return method.invoke(logic, arguments);
+                                            });
+                        })
+                .withoutWarmup();
+    }
+
+    private byte[] flood(String sql) throws Exception {
+        ByteArrayOutputStream commands = new ByteArrayOutputStream();
+        for (int i = 0; commands.size() < FLOOD_BYTES - 100; i++) {
+            commands.write(Encoder.queryMessage(sql.formatted(i, i)));
+        }
+        return commands.toByteArray();
+    }
+
+    private static int statistic(PgConnection client, Pattern name) {
+        Matcher matcher = name.matcher(new String(client.lastDataRow, StandardCharsets.ISO_8859_1));
+        assertThat(matcher.find()).isTrue();
+        return Integer.parseInt(matcher.group(1));
+    }
+
+    /** Guards against one client's many unsound commands that others have to wait for. */
+    @ParameterizedTest
+    @ValueSource(
+            strings = {
+                "x",
+                "a b c d e f",
+                "/* id=%d,c=name%d,d=100,cluster=2 */ SELECT 1",
+                "/* id=%d,c=read,d=100,cluster=7%d */ SELECT 1",
+                "/* id"
+            })
+    void otherClientsAreServedBetweenTheCommandsOfOne(String sql) throws Exception {
+        startRouter(newBlockableRouter());
+        PgConnection blocking = publishHostsAndConnect();
+        PgConnection flooding = connectClient();
+        PgConnection other = connectClient();
+        blocking.send(request(READ_TEMPLATE, 1_900));
+        loopBlocked.await();
+        byte[] flood = flood(sql);
+        flooding.send(flood);
+        other.send(Encoder.queryMessage("SHOW stats"));
+        loopReleased.countDown();
+        assertThat(other.readResponse()).isEqualTo("TDCZ");
+        assertThat(statistic(other, MALFORMED)).isLessThan(MAX_COMMANDS_BEFORE_OTHERS);
+        // All commands of the flood are answered nevertheless.
+        flooding.send(Encoder.queryMessage(""));
+        String response = flooding.readResponse();
+        int answers = 0;
+        while (response.startsWith("E")) {
+            answers++;
+            response = flooding.readResponse();
+        }
+        assertThat(response).isEqualTo("IZ");
+        other.send(Encoder.queryMessage("SHOW stats"));
+        assertThat(other.readResponse()).isEqualTo("TDCZ");
+        assertThat(statistic(other, MALFORMED)).isEqualTo(answers).isGreaterThan(600);
+        assertThat(statistic(other, FAULTS)).isZero();
+    }
+}
--- a/router/src/test/java/ironwind/net/ShowTest.java
+++ b/router/src/test/java/ironwind/net/ShowTest.java
@@ -3,6 +3,7 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import ironwind.idle.CloseReason;
+import ironwind.idle.CommandScheduler;
 import ironwind.idle.ConnectionManager;
 import ironwind.idle.Limits;
 import ironwind.idle.MemoryBudget;
@@ -35,6 +36,7 @@
                     budget,
                     new UnsentAnswers(LIMITS, budget),
                     new ReadScheduler(LIMITS, budget),
+                    new CommandScheduler(LIMITS.turnDuration()),
                     new MonotonicTime(Span.ofMillis(500)),
                     null);
 
