Queued reads have their turn before queued commands

FloodTest failed once: a client whose read had been queued waited for a turn of 1 ms of another's commands, of which over 100 were executed. Cause: both turns waited for the next poll of the sockets, and the one that was scheduled first came first. The first turn of reads now follows at once on the sockets that are ready; further ones wait for a poll as before.

--- a/router/src/main/java/ironwind/net/ClientConnections.java
+++ b/router/src/main/java/ironwind/net/ClientConnections.java
@@ -359,8 +359,10 @@
      */
     boolean readNowOrEnqueue(ClientConnection client) {
         boolean readNow = readScheduler.readNowOrEnqueue(client, now(), logicTask.openRpcCount());
-        if (!readNow) {
-            scheduleTurn();
+        if (!readNow && !turnScheduled) {
+            // Right after the sockets that are ready now, and before the turns of commands.
+            turnScheduled = true;
+            timers.execute(this::runTurn);
         }
         return readNow;
     }
