A connection that is not up when its request is given up serves the next

Callers saw: beside one client that sent reads with 1 ms left at full speed, 3 of 54 reads of other clients were served.

Cause: each such read opened a connection to a host and closed it before it was established, 41,284 in 4 s, which filled the hosts' listen queues.

Change: the connection is kept, and another request takes it if it was opened within a fifth of the connect timeout. One that is up by itself becomes idle. If no socket is free, such a connection is closed like an idle one.

--- a/router/src/main/java/ironwind/net/HostConnection.java
+++ b/router/src/main/java/ironwind/net/HostConnection.java
@@ -64,6 +64,9 @@
     /** Bytes of the request that the socket has not accepted yet. */
     private int unwrittenBytes;
 
+    /** When the connection was opened. */
+    final Moment openedAt = Clock.read();
+
     /** When the connection was last returned to the pool. */
     Moment idleSince = Moment.NEVER;
 
@@ -175,14 +178,19 @@
     }
 
     /**
-     * Gives up the request and closes the connection. The request is not notified.
+     * Gives up the request, which is not notified. Closes the connection unless it is still being
+     * established: then another request can use it.
      *
      * @return whether the request was written completely and may have run
      */
     boolean giveUp() {
         boolean mayHaveRun = isRequestWritten();
         request = null;
-        close();
+        if (ready || closed) {
+            close();
+        } else {
+            pool.keepUnestablished(this);
+        }
         return mayHaveRun;
     }
 
--- a/router/src/main/java/ironwind/net/HostConnectionPool.java
+++ b/router/src/main/java/ironwind/net/HostConnectionPool.java
@@ -21,6 +21,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.function.Predicate;
+import java.util.stream.Stream;
 
 /**
  * The pool of connections to hosts. A connection carries one request at a time; a new one is opened
@@ -33,6 +34,12 @@
      */
     private static final double IDLE_TIMEOUT_FRACTION = 0.75;
 
+    /**
+     * Fraction of the connect timeout within which a connection that is being established is given
+     * to another request. One that takes longer may never come up.
+     */
+    private static final double FRESH_CONNECT_FRACTION = 0.2;
+
     /** Fraction of the router's memory that one message of a host may take. */
     private static final double MAX_MESSAGE_FRACTION = 1.0 / 64;
 
@@ -66,6 +73,9 @@
     /** Idle connections by host id, the most recently used first. */
     private final Map<String, Deque<HostConnection>> idleConnections = new LinkedHashMap<>();
 
+    /** Connections by host id that are being established and whose request was given up. */
+    private final Map<String, Deque<HostConnection>> unestablished = new HashMap<>();
+
     private final Set<HostConnection> openConnections = new HashSet<>();
 
     /** Sockets that are connecting or open; each takes a file descriptor. */
@@ -129,6 +139,7 @@
         Address previous = addresses.put(hostId, address);
         if (previous != null && !previous.equals(address)) {
             closeIdle(hostId);
+            closeUnestablished(hostId);
         }
     }
 
@@ -137,19 +148,26 @@
         addresses.keySet().removeIf(isRemoved);
         idleConnections.keySet().stream().filter(isRemoved).toList().forEach(this::closeIdle);
         idleConnections.keySet().removeIf(isRemoved);
+        unestablished.keySet().stream()
+                .filter(isRemoved)
+                .toList()
+                .forEach(this::closeUnestablished);
     }
 
     /**
-     * Acquires a connection for a request: an idle one, which is ready, or a new one that is still
-     * connecting.
+     * Acquires a connection for a request: an idle one, which is ready, or one that is still being
+     * established, which is a new one if there is none without a request.
      *
      * @return the connection; null if no socket or descriptor is free, or the host has no address
      */
     HostConnection acquire(String hostId, HostConnection.Request request) {
-        HostConnection idle = pollIdle(hostId);
-        if (idle != null) {
-            idle.assign(request);
-            return idle;
+        HostConnection existing = pollIdle(hostId);
+        if (existing == null) {
+            existing = pollUnestablished(hostId);
+        }
+        if (existing != null) {
+            existing.assign(request);
+            return existing;
         }
         Address address = addresses.get(hostId);
         if (address == null || !ensureFreeSocket()) {
@@ -198,6 +216,26 @@
         return connection;
     }
 
+    /** Removes and returns the newest unestablished connection to the host, or null. */
+    private HostConnection pollUnestablished(String hostId) {
+        Deque<HostConnection> candidates = unestablished.get(hostId);
+        Moment earliestOpenedAt = Clock.read().minus(connectTimeout.times(FRESH_CONNECT_FRACTION));
+        if (candidates == null || candidates.peekLast().openedAt.before(earliestOpenedAt)) {
+            return null;
+        }
+        HostConnection newest = candidates.peekLast();
+        removeUnestablished(newest);
+        return newest;
+    }
+
+    /**
+     * Keeps a connection that is still being established, although its request was given up: so
+     * requests with little time left do not each open a connection.
+     */
+    void keepUnestablished(HostConnection connection) {
+        unestablished.computeIfAbsent(connection.hostId, id -> new ArrayDeque<>()).add(connection);
+    }
+
     /** Removes and returns a connection that has been idle for {@link #QUIET_PERIOD}, or null. */
     private HostConnection pollRested(String hostId) {
         Deque<HostConnection> candidates = idleConnections.get(hostId);
@@ -214,32 +252,40 @@
     }
 
     /**
-     * Returns whether a socket is free. If none is, closes one idle connection first, which may be
-     * to any host.
+     * Returns whether a socket is free. If none is, closes one connection without a request first,
+     * which may be to any host.
      */
     private boolean ensureFreeSocket() {
         if (openSockets >= maxSockets) {
-            for (Deque<HostConnection> candidates : idleConnections.values()) {
-                if (!candidates.isEmpty()) {
-                    candidates.peekLast().close();
-                    break;
-                }
-            }
+            Stream.of(idleConnections, unestablished)
+                    .flatMap(byHost -> byHost.values().stream())
+                    .filter(candidates -> !candidates.isEmpty())
+                    .findFirst()
+                    .ifPresent(candidates -> candidates.peekLast().close());
         }
         return openSockets < maxSockets;
     }
 
     /** Returns a connection to the pool. */
     void release(HostConnection connection) {
+        removeUnestablished(connection);
         connection.idleSince = Clock.read();
         idleConnections
                 .computeIfAbsent(connection.hostId, id -> new ArrayDeque<>())
                 .push(connection);
     }
 
+    private void removeUnestablished(HostConnection connection) {
+        Deque<HostConnection> sameHost = unestablished.get(connection.hostId);
+        if (sameHost != null && sameHost.remove(connection) && sameHost.isEmpty()) {
+            unestablished.remove(connection.hostId);
+        }
+    }
+
     /** Removes a connection that is being closed. */
     void remove(HostConnection connection) {
         openConnections.remove(connection);
+        removeUnestablished(connection);
         if (waitingForMemory.remove(connection)) {
             resumeWaiting();
         }
@@ -320,6 +366,10 @@
         closeIdle(new ArrayList<>(idleConnections.getOrDefault(hostId, new ArrayDeque<>())));
     }
 
+    private void closeUnestablished(String hostId) {
+        closeIdle(new ArrayList<>(unestablished.getOrDefault(hostId, new ArrayDeque<>())));
+    }
+
     private void closeExpired() {
         Moment earliestIdleSince = Clock.read().minus(idleTimeout);
         List<HostConnection> expired = new ArrayList<>();
--- a/router/src/test/java/ironwind/net/FloodTest.java
+++ b/router/src/test/java/ironwind/net/FloodTest.java
@@ -12,6 +12,7 @@
 import java.util.concurrent.CountDownLatch;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
@@ -61,6 +62,23 @@
         return commands.toByteArray();
     }
 
+    /** Guards against requests with little time left of which each opens a connection to a host. */
+    @Test
+    void requestsThatEndBeforeTheirConnectionIsUpShareConnections() throws Exception {
+        primary.actions = new String[] {"no startup response"};
+        replica.actions = new String[] {"no startup response"};
+        PgConnection client = publishHostsAndConnect();
+        int requests = 400;
+        for (int i = 0; i < requests; i++) {
+            client.send(request(READ_TEMPLATE, 1));
+        }
+        for (int i = 0; i < requests; i++) {
+            assertThat(client.readResponse()).startsWith("E53300");
+        }
+        assertThat(primary.acceptedConnections + replica.acceptedConnections)
+                .isLessThan(requests / 4);
+    }
+
     private static int statistic(PgConnection client, Pattern name) {
         Matcher matcher = name.matcher(new String(client.lastDataRow, StandardCharsets.ISO_8859_1));
         assertThat(matcher.find()).isTrue();
