Input is read ahead, so that a client's close is seen behind its commands

Callers saw: requests were sent on for up to 3 s after their client had closed its connection.

Cause: a connection with 16 unanswered commands was not read, and the operating system tells of a close only after the last byte written. The 16 went on with repeated attempts, and further ones began. The same held for a connection whose read was queued, or whose loop had stood: its commands were executed before the close behind them was read.

The decoder's buffer grows by doubling with what has arrived, not with the length declared, and its cost is linear also for single bytes.

--- a/router/src/main/java/ironwind/idle/MemoryBudget.java
+++ b/router/src/main/java/ironwind/idle/MemoryBudget.java
@@ -84,6 +84,11 @@
         return true;
     }
 
+    /** Counts memory for a use that was refused by a narrower limit than that of the budget. */
+    public void recordRefusal(Use use) {
+        refused.get(use)[0]++;
+    }
+
     /**
      * Reserves memory even beyond the limit, for data that cannot be refused, such as an unsent
      * answer. A negative number of bytes releases memory.
--- a/router/src/main/java/ironwind/idle/TrackedConnection.java
+++ b/router/src/main/java/ironwind/idle/TrackedConnection.java
@@ -28,6 +28,9 @@
     /** Position among the connections with further commands; null while it is not one of them. */
     ConnectionQueue.Node commandNode;
 
+    /** Position among the connections that wait to be read ahead; null while it does not wait. */
+    ConnectionQueue.Node inputNode;
+
     /** Commands that it has executed since its last turn began or its socket was polled. */
     int commandsInARow;
 
--- a/router/src/main/java/ironwind/net/ClientConnection.java
+++ b/router/src/main/java/ironwind/net/ClientConnection.java
@@ -24,6 +24,8 @@
  */
 final class ClientConnection extends TrackedConnection
         implements LoopSocket.Handler, Exchange.Owner {
+    private static final byte[] NO_BYTES = {};
+
     private final LoopSocket socket;
     private final ClientConnections connections;
 
@@ -85,7 +87,9 @@
     @Override
     public void onReadable() {
         connections.commandTurns.recordPoll(this);
-        if (!closed && connections.readNowOrEnqueue(this)) {
+        if (isExecutionPaused() && !connections.mayReadAhead(this, reservedBytes)) {
+            updateReadInterest();
+        } else if (!closed && connections.readNowOrEnqueue(this)) {
             read();
         } else {
             updateState();
@@ -101,6 +105,9 @@
 
     private void read() {
         byte[] bytes = socket.read(connections.maxReadBytes());
+        if (connections.mayHaveWaited(this)) {
+            bytes = readFurther(bytes);
+        }
         if (bytes == null) {
             close(Ending.CLIENT_LEFT);
         } else {
@@ -108,14 +115,32 @@
         }
     }
 
+    /**
+     * Reads on, as far as there is memory, to see whether the client has left: its commands must
+     * not be executed then.
+     *
+     * @param bytes the bytes that were read first
+     * @return the bytes that were read last; null if the client has left
+     */
+    private byte[] readFurther(byte[] bytes) {
+        byte[] last = bytes;
+        while (last != null && last.length > 0 && acceptsInput()) {
+            buffer(last);
+            connections.resizeInput(frameDecoder.bufferCapacity() - reservedBytes);
+            reservedBytes = frameDecoder.bufferCapacity();
+            last =
+                    connections.mayReadAhead(this, reservedBytes)
+                            ? socket.read(connections.maxReadBytes())
+                            : NO_BYTES;
+        }
+        return last;
+    }
+
     private void receive(byte[] bytes) {
-        if (bytes.length > 0 && pendingEnding != Ending.CLIENT_FATAL_ERROR) {
-            if (frameDecoder == null) {
-                frameDecoder =
-                        new FrameDecoder(
-                                !startupDone, ClientMessage.TYPES, WireFormat.MAX_MESSAGE_BYTES);
-            }
-            frameDecoder.add(bytes);
+        if (bytes.length > 0 && acceptsInput()) {
+            buffer(bytes);
+        }
+        if (frameDecoder != null) {
             processInput();
         } else {
             updateState();
@@ -123,6 +148,19 @@
         connections.resetQueueTime(this);
     }
 
+    private boolean acceptsInput() {
+        return pendingEnding != Ending.CLIENT_FATAL_ERROR;
+    }
+
+    private void buffer(byte[] bytes) {
+        if (frameDecoder == null) {
+            frameDecoder =
+                    new FrameDecoder(
+                            !startupDone, ClientMessage.TYPES, WireFormat.MAX_MESSAGE_BYTES);
+        }
+        frameDecoder.add(bytes);
+    }
+
     /** Executes commands that have arrived earlier, in a turn of the connection. */
     void executeBufferedCommands() {
         processInput();
@@ -182,7 +220,11 @@
                 || connections.isOverUnsentLimit(this);
     }
 
-    private boolean shouldPauseReading() {
+    /**
+     * Returns whether commands that have arrived are not executed yet; meanwhile, more are only
+     * read ahead.
+     */
+    private boolean isExecutionPaused() {
         return hasTooManyAnswersDue() || connections.commandTurns.isWaiting(this);
     }
 
@@ -193,9 +235,11 @@
             frameDecoder = null;
         }
         if (size != reservedBytes) {
-            // While reading is paused, the input may contain complete commands. They have been
+            // While execution is paused, the input may contain complete commands. They have been
             // accepted and must not be lost, so they may exceed the memory limit.
-            if (!connections.reserve(size - reservedBytes, shouldPauseReading())) {
+            if (size < reservedBytes || isExecutionPaused()) {
+                connections.resizeInput(size - reservedBytes);
+            } else if (!connections.tryReserveMessage(size, reservedBytes)) {
                 throw new PgException(
                         CloseReason.NO_MEMORY.sqlState, CloseReason.NO_MEMORY.message);
             }
@@ -282,7 +326,7 @@
 
     private void discardInput() {
         frameDecoder = null;
-        connections.reserve(-reservedBytes, true);
+        connections.resizeInput(-reservedBytes);
         reservedBytes = 0;
     }
 
@@ -395,12 +439,13 @@
             close(pendingEnding);
             return;
         }
-        // While reading is paused, a message is incomplete because the router does not read it, not
-        // because the client is slow: the state is BUSY, to which no message timeout applies.
+        // While execution is paused, a message may be incomplete because the router does not read
+        // it, not because the client is slow: the state is BUSY, to which no message timeout
+        // applies.
         ConnectionState newState =
                 closing
                         ? ConnectionState.CLOSING
-                        : firstPending != null || shouldPauseReading()
+                        : firstPending != null || isExecutionPaused()
                                 ? ConnectionState.BUSY
                                 : !startupDone
                                         ? ConnectionState.STARTUP
@@ -412,7 +457,18 @@
         if (restart || newState != state()) {
             connections.setState(this, newState);
         }
-        socket.setReadInterest(!closing && !shouldPauseReading() && !connections.isQueued(this));
+        updateReadInterest();
+    }
+
+    /** Reads from the socket as far as there is a use and memory for it. */
+    void updateReadInterest() {
+        if (!closed) {
+            socket.setReadInterest(
+                    !closing
+                            && !connections.isQueued(this)
+                            && (!isExecutionPaused()
+                                    || connections.mayReadAhead(this, reservedBytes)));
+        }
     }
 
     /** Closes the connection between two requests: now, or once all its commands are answered. */
--- a/router/src/main/java/ironwind/net/ClientConnections.java
+++ b/router/src/main/java/ironwind/net/ClientConnections.java
@@ -7,6 +7,7 @@
 import ironwind.idle.CloseReason;
 import ironwind.idle.ConnectionManager;
 import ironwind.idle.ConnectionState;
+import ironwind.idle.InputBuffering;
 import ironwind.idle.Limits;
 import ironwind.idle.MemoryBudget;
 import ironwind.idle.MemoryBudget.Use;
@@ -58,6 +59,12 @@
     /** Lag of the event loop above which it is logged. */
     private static final Span LAG_WARNING_THRESHOLD = Span.ofMillis(200);
 
+    /**
+     * Longest time that input may have waited in its socket to be executed without a further read,
+     * which shows whether the client has left.
+     */
+    private static final Span UNNOTICED_WAIT = Span.ofMillis(10);
+
     /**
      * Connections closed before sockets are polled again, so that the others are served in between.
      */
@@ -100,6 +107,7 @@
     private final MemoryBudget budget;
     private final UnsentAnswers unsentAnswers;
     private final ReadScheduler readScheduler;
+    private final InputBuffering inputBuffering;
     private final MonotonicTime monotonicTime = new MonotonicTime(MAX_TIME_STEP);
     private final Show show;
 
@@ -113,6 +121,7 @@
     private Acceptor acceptor;
     private Warmup warmup;
     private boolean turnScheduled;
+    private boolean readAheadScheduled;
     private boolean ready;
     private boolean draining;
     private Runnable onDrained = () -> {};
@@ -146,6 +155,7 @@
         this.budget = budget;
         this.unsentAnswers = new UnsentAnswers(limits, budget);
         this.readScheduler = new ReadScheduler(limits, budget);
+        this.inputBuffering = new InputBuffering(budget);
         this.commandTurns = new CommandTurns(limits.turnDuration(), timers, this::now);
         this.show =
                 new Show(
@@ -415,24 +425,65 @@
     // ---- memory
 
     /**
-     * Reserves memory for input that is not processed yet, or releases it if {@code bytes} is
-     * negative.
+     * Reserves memory for the beginning of a message.
      *
-     * @param force whether the memory is reserved even above the limit
+     * @param bytes the memory that it takes
+     * @param reservedBytes how much of that is reserved already
      * @return whether the memory is reserved
      */
-    boolean reserve(int bytes, boolean force) {
-        if (force || bytes <= 0) {
-            budget.forceReserve(Use.UNPROCESSED_INPUT, bytes);
-            return true;
-        }
-        boolean reserved = budget.tryReserve(Use.UNPROCESSED_INPUT, bytes);
-        if (!reserved) {
+    boolean tryReserveMessage(int bytes, int reservedBytes) {
+        int additionalBytes = bytes - reservedBytes;
+        boolean reserved = inputBuffering.mayHoldMessage(bytes, additionalBytes);
+        if (reserved) {
+            resizeInput(additionalBytes);
+        } else {
+            budget.recordRefusal(Use.UNPROCESSED_INPUT);
             connectionManager.recordClose(CloseReason.NO_MEMORY);
         }
         return reserved;
     }
 
+    /** Reserves memory for input that is held already, or releases it if the size is negative. */
+    void resizeInput(int additionalBytes) {
+        budget.forceReserve(Use.UNPROCESSED_INPUT, additionalBytes);
+        if (additionalBytes < 0 && inputBuffering.hasWaiting() && !readAheadScheduled) {
+            readAheadScheduled = true;
+            timers.executeAfterPoll(this::resumeReadingAhead);
+        }
+    }
+
+    private void resumeReadingAhead() {
+        readAheadScheduled = false;
+        for (TrackedConnection next = inputBuffering.pollReadable();
+                next != null;
+                next = inputBuffering.pollReadable()) {
+            // The read itself follows when the socket is polled.
+            ((ClientConnection) next).updateReadInterest();
+            if (inputBuffering.isWaiting(next)) {
+                return;
+            }
+        }
+    }
+
+    /**
+     * Returns whether a connection may be read although commands that have arrived earlier are not
+     * executed yet.
+     */
+    boolean mayReadAhead(ClientConnection client, int bufferedBytes) {
+        return inputBuffering.mayReadAhead(client, bufferedBytes);
+    }
+
+    /**
+     * Returns whether the input of a connection may have waited so long to be read that its client
+     * may have left since.
+     */
+    boolean mayHaveWaited(ClientConnection client) {
+        return readScheduler
+                .queueTime(client, now())
+                .longer(loopLag.lagAt(Clock.readMonotonic()))
+                .longerThan(UNNOTICED_WAIT);
+    }
+
     /** Returns whether there is memory to hold an answer until those before it are written. */
     boolean mayHold(int answerBytes) {
         return budget.mayHold(answerBytes);
--- a/router/src/main/java/ironwind/pg/FrameDecoder.java
+++ b/router/src/main/java/ironwind/pg/FrameDecoder.java
@@ -34,7 +34,11 @@
         this.maxBodyBytes = maxBodyBytes;
     }
 
-    /** Adds received bytes. The decoder takes ownership of the array. */
+    /**
+     * Adds received bytes. The decoder takes ownership of the array. The buffer's size follows the
+     * bytes that have arrived, not the length that a header declares, and the cost of all calls is
+     * linear in their bytes.
+     */
     public void add(byte[] bytes) {
         int buffered = writeIndex - readIndex;
         if (buffered == 0) {
@@ -44,11 +48,7 @@
             return;
         }
         if (writeIndex + bytes.length > buffer.length) {
-            int capacity =
-                    Math.max(
-                            buffered + bytes.length,
-                            Math.max(MIN_CAPACITY, Math.min(messageBytes(), maxBodyBytes)));
-            byte[] target = capacity <= buffer.length ? buffer : new byte[capacity];
+            byte[] target = bufferFor(buffered + bytes.length);
             System.arraycopy(buffer, readIndex, target, 0, buffered);
             buffer = target;
             readIndex = 0;
@@ -58,6 +58,18 @@
         writeIndex += bytes.length;
     }
 
+    /**
+     * Returns the buffer if at least a quarter of it stays free, and else a new one of twice the
+     * size, but no larger than the incomplete message that it is for.
+     */
+    private byte[] bufferFor(int bytes) {
+        if (bytes <= buffer.length - buffer.length / 4) {
+            return buffer;
+        }
+        int doubled = Math.max(MIN_CAPACITY, 2 * bytes);
+        return new byte[bytes < expectedBytes() ? Math.min(doubled, messageBytes()) : doubled];
+    }
+
     /**
      * Returns the length of the next message as its header declares it, header included; zero while
      * the header is incomplete.
--- a/router/src/test/java/ironwind/net/ScriptedHost.java
+++ b/router/src/test/java/ironwind/net/ScriptedHost.java
@@ -27,6 +27,8 @@
     /** Parameters in an answer that has more of them than a router accepts. */
     private static final int PARAMETERS = 50_000;
 
+    private static final long SLOW_ROW_MS = 250;
+
     private final ServerSocket serverSocket =
             new ServerSocket(0, BACKLOG, InetAddress.getLoopbackAddress());
     private final String role;
@@ -201,6 +203,10 @@
                             connection,
                             Encoder.readyForQuery(),
                             "noise".getBytes(StandardCharsets.UTF_8));
+            case "slow row" -> {
+                Thread.sleep(SLOW_ROW_MS);
+                sendRow(connection, Encoder.readyForQuery());
+            }
             case "scripted bytes" -> connection.send(scriptedBytes);
             case "garbage" -> connection.send("what is this?".getBytes(StandardCharsets.UTF_8));
             case "reset" -> connection.socket.setSoLinger(true, 0);
