The id of a write that may have run is not taken again

Callers saw: a client left, came back and sent the same id again, and a host got that write twice.

Cause: an id was free as soon as its client had left, also while the write was out under it or had run.

An id whose write provably did not run is free again.

Result: three cases of LeavingClientTest failed before and pass.

--- a/router/src/main/java/ironwind/model/SessionCommits.java
+++ b/router/src/main/java/ironwind/model/SessionCommits.java
@@ -13,9 +13,6 @@
     /** Most sessions that are remembered. Only a hash of a session's name is kept. */
     static final int MAX_SESSIONS = 16_384;
 
-    private static final long HASH_OFFSET = 0xcbf29ce484222325L;
-    private static final long HASH_PRIME = 0x100000001b3L;
-
     /**
      * The newest position by the session's hash, in the order in which the commits were learned.
      * Sessions with the same hash share the newer position.
@@ -34,7 +31,7 @@
         if (session == null) {
             return;
         }
-        long hash = hash(session);
+        long hash = NameHash.of(session);
         Moment previous = positions.remove(hash);
         if (previous == null && !position.after(newestForgotten)) {
             // The session may have had a newer commit that was forgotten.
@@ -56,13 +53,15 @@
         if (session == null) {
             return newest;
         }
-        Moment position = positions.get(hash(session));
+        Moment position = positions.get(NameHash.of(session));
         return position == null ? newestForgotten : position;
     }
 
     /** Returns the position of a session's last commit; {@link Moment#NEVER} if it isn't known. */
     public Moment rememberedFor(String session) {
-        return session == null ? Moment.NEVER : positions.getOrDefault(hash(session), Moment.NEVER);
+        return session == null
+                ? Moment.NEVER
+                : positions.getOrDefault(NameHash.of(session), Moment.NEVER);
     }
 
     /** Forgets the oldest commits, up to the first that is after the given position. */
@@ -82,13 +81,4 @@
     public boolean isEmpty() {
         return positions.isEmpty();
     }
-
-    /** Returns the 64-bit FNV-1a hash of a name. */
-    private static long hash(String name) {
-        long hash = HASH_OFFSET;
-        for (int i = 0; i < name.length(); i++) {
-            hash = (hash ^ name.charAt(i)) * HASH_PRIME;
-        }
-        return hash;
-    }
 }
--- a/router/src/main/java/ironwind/net/LogicTask.java
+++ b/router/src/main/java/ironwind/net/LogicTask.java
@@ -6,6 +6,7 @@
 import ironwind.model.Deployment;
 import ironwind.model.Host;
 import ironwind.model.HostEntry;
+import ironwind.model.Idempotency;
 import ironwind.model.Inbound;
 import ironwind.model.Method;
 import ironwind.model.Moment;
@@ -57,8 +58,7 @@
     private final Map<Rpc, Exchange> exchangesByRpc = new HashMap<>();
     private final Map<CallOut, CallOutRequest> callOutRequests = new HashMap<>();
 
-    /** RPCs without a final answer, by id. */
-    private final Map<String, Exchange> openExchangesById = new HashMap<>();
+    private final RequestIds ids = new RequestIds();
 
     /** Upper limit of all deadlines. */
     private Moment latestDeadline = FAR_FUTURE;
@@ -73,7 +73,7 @@
      */
     void capDeadlines(Span fromNow) {
         latestDeadline = Clock.read().plus(fromNow);
-        for (Exchange exchange : List.copyOf(openExchangesById.values())) {
+        for (Exchange exchange : ids.openExchanges()) {
             if (exchange.rpc != null && exchange.rpc.deadline.after(latestDeadline)) {
                 exchange.rpc.deadline = latestDeadline;
                 scheduleAnswerCheck(exchange);
@@ -179,7 +179,7 @@
 
     /** Returns the number of RPCs that have no final answer yet. */
     int openRpcCount() {
-        return openExchangesById.size();
+        return ids.openCount();
     }
 
     /**
@@ -187,7 +187,7 @@
      * reached.
      */
     void logUnanswered() {
-        for (Exchange exchange : openExchangesById.values()) {
+        for (Exchange exchange : ids.openExchanges()) {
             List<String> hosts =
                     exchange.rpc == null
                             ? List.of()
@@ -228,13 +228,19 @@
     /**
      * Checks an RPC before it is accepted.
      *
-     * @throws PgException if its id is that of an open RPC, or its group is in no discovery update
+     * @throws PgException if its id is that of an open RPC or of a write that may have run, or its
+     *     group is in no discovery update
      */
     void validate(RpcRequest request) {
-        if (openExchangesById.containsKey(request.id)) {
+        if (ids.isOpen(request.id)) {
             throw new PgException(
                     PgException.SYNTAX_ERROR, "the comment's id belongs to another open request");
         }
+        if (ids.isRemembered(request.id)) {
+            throw new PgException(
+                    PgException.SYNTAX_ERROR,
+                    "the comment's id belongs to an earlier write, which may have run");
+        }
         if (logic.group(request.group) == null) {
             throw new PgException(PgException.SYNTAX_ERROR, "the comment's cluster is unknown");
         }
@@ -243,7 +249,7 @@
     /** A valid RPC has arrived; it is answered through its exchange. */
     void onRpcArrived(Exchange exchange, RpcRequest request) {
         counters.add(Count.RPCS);
-        openExchangesById.put(request.id, exchange);
+        ids.begin(exchange);
         enqueue(
                 exchange,
                 time -> {
@@ -438,12 +444,21 @@
     }
 
     private void releaseId(Exchange exchange) {
-        openExchangesById.remove(exchange.id, exchange);
+        ids.end(exchange, exchange.rpc != null && isWriteThatMayRun(exchange.rpc));
+    }
+
+    /** Returns whether an RPC is a write that may have run or may still run. */
+    private static boolean isWriteThatMayRun(Rpc rpc) {
+        return rpc.method.idempotency() != Idempotency.IDEMPOTENT
+                && (rpc.inFlight > 0 || rpc.firstPossibleRunAt != null);
     }
 
     private void removeIfDone(Rpc rpc) {
         if (rpc.state == Rpc.State.DONE && rpc.inFlight == 0) {
             exchangesByRpc.remove(rpc);
+            if (rpc.firstPossibleRunAt == null) {
+                ids.forget(rpc.id);
+            }
         }
     }
 
--- a/router/src/test/java/ironwind/net/LeavingClientTest.java
+++ b/router/src/test/java/ironwind/net/LeavingClientTest.java
@@ -6,9 +6,11 @@
 import java.io.ByteArrayOutputStream;
 import java.util.Arrays;
 import java.util.List;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /** Clients that close their connection while their commands are not answered. */
 @Timeout(value = 20, threadMode = Timeout.ThreadMode.SEPARATE_THREAD)
@@ -43,10 +45,7 @@
         PgConnection client = connectClient();
         client.send(writes(commands, statementBytes));
         primary.requests.take();
-        client.close();
-        while (statistic(observer, "ended_client_left") == 0) {
-            Thread.sleep(5);
-        }
+        leave(client, observer);
         Thread.sleep(ALLOWED_MS);
         assertThat(statistic(observer, "rpcs")).isLessThanOrEqualTo(MAX_PENDING_COMMANDS);
         assertThat(memory(observer, "all")).isZero();
@@ -70,6 +69,51 @@
         assertThat(primary.requests).hasSize(sentBefore);
     }
 
+    /** Guards against a write that runs twice because its client left and sent it again. */
+    @ParameterizedTest
+    @ValueSource(strings = {"slow row", "no response", "close"})
+    void idOfAWriteThatMayHaveRunIsNotTakenAgain(String action) throws Exception {
+        primary.actions = new String[] {action, "row"};
+        PgConnection observer = publishHostsAndConnect();
+        byte[] write = writes(1, 0);
+        PgConnection client = connectClient();
+        client.send(write);
+        primary.requests.take();
+        leave(client, observer);
+        PgConnection again = connectClient();
+        again.send(write);
+        assertThat(again.readResponse()).isEqualTo("E42601");
+        assertThat(primary.possibleExecutions).isEqualTo(1);
+        again.send(writes(1, 0));
+        assertThat(again.readResponse()).doesNotStartWith("E42601");
+    }
+
+    @Test
+    void idOfAWriteThatWasNotSentIsFree() throws Exception {
+        primary.actions = new String[] {"no startup response"};
+        PgConnection observer = publishHostsAndConnect();
+        byte[] write = writes(1, 0);
+        PgConnection client = connectClient();
+        client.send(write);
+        while (statistic(observer, "call_outs") == 0) {
+            Thread.sleep(1);
+        }
+        leave(client, observer);
+        while (statistic(observer, "ended_never_up") == 0) {
+            Thread.sleep(5);
+        }
+        PgConnection again = connectClient();
+        again.send(write);
+        assertThat(again.readResponse()).startsWith("E53300");
+    }
+
+    private static void leave(PgConnection client, PgConnection observer) throws Exception {
+        client.close();
+        while (statistic(observer, "ended_client_left") == 0) {
+            Thread.sleep(5);
+        }
+    }
+
     /** Returns a counter of {@code SHOW stats}; zero if it isn't listed. */
     private static long statistic(PgConnection observer, String name) throws Exception {
         observer.send(Encoder.queryMessage("SHOW stats"));
