A comment's fields are counted before they are parsed, and their memory counts

Callers saw: with hundreds of clients that sent comments of very many short fields, nobody was answered any more.

Cause: a comment was split without a limit. A field of 7 bytes takes some 200 in memory, of which its length was counted; 300 clients with 15,000 fields each ended the event loop with an OutOfMemoryError. After its answer, an RPC that waited behind an earlier command kept its session's name, up to 135 KB, uncounted.

Change: at most 4,096 characters and 64 fields, counted first; each field counts 144 bytes; a session's name counts until the answer is written.

--- a/router/src/main/java/ironwind/net/ClientConnections.java
+++ b/router/src/main/java/ironwind/net/ClientConnections.java
@@ -86,8 +86,9 @@
     private static final double MAX_DEADLINE_MULTIPLE = 4;
 
     /**
-     * Memory of an RPC in bytes until its answer is written, beside its statement. That is held as
-     * text and as attributes until there is an answer, for which twice its length is counted.
+     * Memory of an RPC in bytes until its answer is written, beside its statement and its session.
+     * The statement is held as text and as attributes until there is an answer; twice its length is
+     * counted for it and the session, whose name is a part of it.
      */
     private static final int OPEN_RPC_BYTES = 1_024;
 
@@ -496,7 +497,7 @@
      */
     void accountForAnswer(Exchange exchange, boolean held) {
         if (exchange.rpcMemory != null) {
-            exchange.rpcMemory.resizeTo(OPEN_RPC_BYTES);
+            exchange.rpcMemory.resizeTo(OPEN_RPC_BYTES + exchange.sessionChars());
         }
         if (held) {
             exchange.heldMemory = new MemoryReservation(budget, Use.HELD_ANSWERS);
@@ -645,7 +646,7 @@
                 statement.attributes().containsKey("after")
                         ? statement.requiredLong("after", 0, MAX_TIME_MS)
                         : 0;
-        int bytes = OPEN_RPC_BYTES + 2 * sqlLength;
+        int bytes = OPEN_RPC_BYTES + 2 * sqlLength + statement.attributeOverheadBytes();
         Span queueTime = readScheduler.queueTime(client, now());
         Span inputDelay =
                 queueTime.longer(client.takeInputDelay(loopLag.lagAt(Clock.readMonotonic())));
--- a/router/src/main/java/ironwind/net/Exchange.java
+++ b/router/src/main/java/ironwind/net/Exchange.java
@@ -62,6 +62,11 @@
         return id != null;
     }
 
+    /** Returns the length of the name of the RPC's session; zero if it has none. */
+    int sessionChars() {
+        return rpc == null || rpc.session == null ? 0 : rpc.session.length();
+    }
+
     /** Returns the statement of an RPC that may still be sent; null for any other command. */
     Statement statement() {
         return statement;
--- a/router/src/main/java/ironwind/pg/Statement.java
+++ b/router/src/main/java/ironwind/pg/Statement.java
@@ -18,13 +18,23 @@
     /** The attribute for the time that is left for the answer, in milliseconds. */
     private static final String TIME_LEFT = "d";
 
+    /** Longest comment, in characters. */
+    static final int MAX_COMMENT_CHARS = 4_096;
+
+    /** Most fields of a comment. An object or two are created for each, however short it is. */
+    static final int MAX_FIELDS = 64;
+
+    /** Memory of a field beside its characters, in bytes: two strings and an entry of a map. */
+    private static final int FIELD_BYTES = 144;
+
     /** How much of a malformed value an error message quotes, in characters. */
     private static final int MAX_QUOTED_CHARS = 24;
 
     /**
      * Parses a query.
      *
-     * @throws PgException if the comment is unterminated or contains a name twice
+     * @throws PgException if the comment is unterminated or too long, has too many fields or
+     *     contains a name twice
      */
     public static Statement parse(String sql) {
         String trimmed = sql.strip();
@@ -35,9 +45,23 @@
         if (commentEnd < 0) {
             throw new PgException(PgException.SYNTAX_ERROR, "unterminated comment");
         }
+        return new Statement(
+                parseAttributes(trimmed, COMMENT_START.length(), commentEnd),
+                trimmed.substring(commentEnd + COMMENT_END.length()).strip());
+    }
+
+    private static Map<String, String> parseAttributes(String sql, int start, int end) {
+        if (end - start > MAX_COMMENT_CHARS || countFields(sql, start, end) > MAX_FIELDS) {
+            throw new PgException(
+                    PgException.PROGRAM_LIMIT_EXCEEDED,
+                    "the comment is longer than "
+                            + MAX_COMMENT_CHARS
+                            + " characters or has more than "
+                            + MAX_FIELDS
+                            + " fields");
+        }
         Map<String, String> attributes = new LinkedHashMap<>();
-        for (String pair :
-                trimmed.substring(COMMENT_START.length(), commentEnd).strip().split(",")) {
+        for (String pair : sql.substring(start, end).strip().split(",")) {
             int equals = pair.indexOf('=');
             if (equals > 0
                     && attributes.put(
@@ -48,8 +72,16 @@
                         PgException.SYNTAX_ERROR, "the comment contains a name twice");
             }
         }
-        return new Statement(
-                attributes, trimmed.substring(commentEnd + COMMENT_END.length()).strip());
+        return attributes;
+    }
+
+    private static long countFields(String sql, int start, int end) {
+        return 1 + sql.substring(start, end).chars().filter(c -> c == ',').count();
+    }
+
+    /** Returns the memory of the attributes beside their characters, in bytes. */
+    public int attributeOverheadBytes() {
+        return FIELD_BYTES * attributes.size();
     }
 
     /**
--- a/router/src/test/java/ironwind/pg/PgTest.java
+++ b/router/src/test/java/ironwind/pg/PgTest.java
@@ -1,5 +1,6 @@
 package ironwind.pg;
 
+import static java.util.stream.Collectors.joining;
 import static org.assertj.core.api.Assertions.assertThat;
 import static org.assertj.core.api.Assertions.assertThatThrownBy;
 
@@ -8,6 +9,7 @@
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.List;
+import java.util.stream.IntStream;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
@@ -164,6 +166,34 @@
                         new HostMessage.ReadyForQuery());
     }
 
+    /** Guards against a comment of which each of very many fields becomes an object. */
+    @ParameterizedTest
+    @ValueSource(ints = {65, 3_000, 15_000})
+    void commentsWithTooManyFieldsAreRejected(int fields) {
+        String comment =
+                IntStream.range(0, fields).mapToObj(i -> "z" + i + "=1").collect(joining(","));
+        assertThatThrownBy(() -> Statement.parse("/* " + comment + " */ SELECT 1"))
+                .isInstanceOf(PgException.class);
+        assertThatThrownBy(() -> Statement.parse("/* " + ",".repeat(fields) + " */ SELECT 1"))
+                .isInstanceOf(PgException.class);
+        assertThatThrownBy(() -> Statement.parse("/* id=" + "1".repeat(4_097) + " */ SELECT 1"))
+                .isInstanceOf(PgException.class);
+    }
+
+    /** Guards against buffers of the size that a header declares, before its message arrives. */
+    @Test
+    void bufferOfAnIncompleteMessageGrowsWithWhatHasArrived() {
+        FrameDecoder decoder =
+                new FrameDecoder(false, ClientMessage.TYPES, WireFormat.MAX_MESSAGE_BYTES);
+        byte[] query = Encoder.queryMessage("x".repeat(100_000));
+        for (int i = 0; i < query.length; i++) {
+            assertThat(decoder.next()).isNull();
+            decoder.add(new byte[] {query[i]});
+            assertThat(decoder.bufferCapacity()).isLessThanOrEqualTo(Math.max(512, 2 * (i + 1)));
+        }
+        assertThat(decoder.next().body()).hasSize(query.length - 5);
+    }
+
     /** Guards against a command tag that is matched by deep recursion before it is measured. */
     @ParameterizedTest
     @ValueSource(ints = {64, 2_000, 500_000})
