An exception while a socket is handled ends its connection, not the loop's pass

LoopSocket now passes it to the connection, which counts and logs it and ends.

The tests' proxies of the decision logic are one method of RouterFixture.

Result: RouterTest.faultInTheInputOfOneClientEndsOnlyItsConnection failed before (another client had no answer within its time) and passes.

--- a/router/src/main/java/ironwind/net/ClientConnection.java
+++ b/router/src/main/java/ironwind/net/ClientConnection.java
@@ -412,6 +412,12 @@
         connections.executeLater(() -> close(Ending.CLIENT_LEFT));
     }
 
+    @Override
+    public void onFault(RuntimeException fault) {
+        connections.reportFault(fault);
+        close(Ending.CLIENT_CLOSED_BY_ROUTER);
+    }
+
     // ---- state and closing
 
     private void updateState() {
--- a/router/src/main/java/ironwind/net/ClientConnections.java
+++ b/router/src/main/java/ironwind/net/ClientConnections.java
@@ -553,6 +553,11 @@
         timers.execute(action);
     }
 
+    /** Counts and logs an unexpected exception. */
+    void reportFault(RuntimeException fault) {
+        timers.reportFault(fault);
+    }
+
     /** Counts and logs input of a client that is malformed, too slow or finds no memory. */
     void recordInputError(PgException e) {
         counters.add(Count.MALFORMED);
--- a/router/src/main/java/ironwind/net/HostConnection.java
+++ b/router/src/main/java/ironwind/net/HostConnection.java
@@ -375,6 +375,14 @@
         pool.execute(this::onDisconnected);
     }
 
+    @Override
+    public void onFault(RuntimeException fault) {
+        pool.reportFault(fault);
+        if (!closed) {
+            endWith(isRequestWritten() ? Ending.MALFORMED_ANSWER : Ending.LOST_BEFORE_SENT);
+        }
+    }
+
     /** The connection is lost. An answer that is complete by then still counts. */
     private void onDisconnected() {
         if (closed) {
--- a/router/src/main/java/ironwind/net/HostConnectionPool.java
+++ b/router/src/main/java/ironwind/net/HostConnectionPool.java
@@ -356,6 +356,11 @@
         timers.schedule(connectTimeout, action);
     }
 
+    /** Counts and logs an unexpected exception. */
+    void reportFault(RuntimeException fault) {
+        timers.reportFault(fault);
+    }
+
     /** Logs that a host sent a malformed message or answer. */
     void logMalformedData(HostConnection connection, PgException cause) {
         log.warn("host_garbled", "host", connection.hostId, "what", cause.getMessage());
--- a/router/src/main/java/ironwind/net/LoopSocket.java
+++ b/router/src/main/java/ironwind/net/LoopSocket.java
@@ -52,6 +52,13 @@
          * #write}.
          */
         void onFailure();
+
+        /**
+         * Called when another method of the handler threw an unexpected exception: the connection
+         * is to be ended. Without this the event loop would leave out all other sockets that are
+         * ready, and then stand for a second.
+         */
+        void onFault(RuntimeException fault);
     }
 
     private final SocketChannel channel;
@@ -177,6 +184,14 @@
 
     @Override
     protected void handle(SocketChannel ready, SelectionKey key) {
+        try {
+            dispatch(ready, key);
+        } catch (RuntimeException fault) {
+            handler.onFault(fault);
+        }
+    }
+
+    private void dispatch(SocketChannel ready, SelectionKey key) {
         int ops;
         try {
             ops = key.readyOps();
--- a/router/src/main/java/ironwind/net/Timers.java
+++ b/router/src/main/java/ironwind/net/Timers.java
@@ -19,6 +19,11 @@
         this.exceptionHandler = exceptionHandler;
     }
 
+    /** Reports an unexpected exception of an action that was not scheduled here. */
+    void reportFault(RuntimeException fault) {
+        exceptionHandler.accept(fault);
+    }
+
     /** A scheduled action. */
     interface Timer {
         /** Cancels the action; does nothing if it has run. */
--- a/router/src/test/java/ironwind/net/FloodTest.java
+++ b/router/src/test/java/ironwind/net/FloodTest.java
@@ -2,12 +2,8 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
-import ironwind.Logic;
-import ironwind.model.Inbound;
 import ironwind.pg.Encoder;
 import java.io.ByteArrayOutputStream;
-import java.io.PrintStream;
-import java.lang.reflect.Proxy;
 import java.nio.charset.StandardCharsets;
 import java.util.concurrent.CountDownLatch;
 import java.util.regex.Matcher;
@@ -34,24 +30,14 @@
 
     /** Creates a router whose event loop blocks in the arrival of the first RPC. */
     private Router newBlockableRouter() {
-        return new Router(
-                        config,
-                        new Log(new PrintStream(logOutput, true)),
-                        outbound -> {
-                            Inbound logic = new Logic(config.deployment(), config.seed(), outbound);
-                            return (Inbound)
-                                    Proxy.newProxyInstance(
-                                            getClass().getClassLoader(),
-                                            new Class<?>[] {Inbound.class},
-                                            (proxy, method, arguments) -> {
-                                                if (method.getName().equals("onRpcArrived")) {
-                                                    loopBlocked.countDown();
-                                                    loopReleased.await();
-                                                }
-                                                return method.invoke(logic, arguments);
-                                            });
-                        })
-                .withoutWarmup();
+        return routerWith(
+                (method, logic) -> {
+                    if (method.equals("onRpcArrived")) {
+                        loopBlocked.countDown();
+                        loopReleased.await();
+                    }
+                    return logic.call();
+                });
     }
 
     private byte[] flood(String sql) throws Exception {
--- a/router/src/test/java/ironwind/net/RouterFixture.java
+++ b/router/src/test/java/ironwind/net/RouterFixture.java
@@ -5,12 +5,15 @@
 import com.sun.net.httpserver.HttpServer;
 import io.vertx.core.json.JsonArray;
 import io.vertx.core.json.JsonObject;
+import ironwind.Logic;
 import ironwind.config.RouterConfig;
+import ironwind.model.Inbound;
 import ironwind.model.Span;
 import ironwind.pg.Encoder;
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.io.PrintStream;
+import java.lang.reflect.Proxy;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.Socket;
@@ -18,6 +21,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.Callable;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
@@ -156,6 +160,31 @@
                 .withoutWarmup();
     }
 
+    /** Stands between a router and a method of its decision logic. */
+    interface LogicInterceptor {
+        /** Called instead of a method of the logic, which {@code logic} calls. */
+        Object call(String method, Callable<Object> logic) throws Exception;
+    }
+
+    /** Creates a router whose decision logic is called through an interceptor. */
+    Router routerWith(LogicInterceptor interceptor) {
+        return new Router(
+                        config,
+                        new Log(new PrintStream(logOutput, true)),
+                        outbound -> {
+                            Inbound logic = new Logic(config.deployment(), config.seed(), outbound);
+                            return (Inbound)
+                                    Proxy.newProxyInstance(
+                                            getClass().getClassLoader(),
+                                            new Class<?>[] {Inbound.class},
+                                            (proxy, method, arguments) ->
+                                                    interceptor.call(
+                                                            method.getName(),
+                                                            () -> method.invoke(logic, arguments)));
+                        })
+                .withoutWarmup();
+    }
+
     void startRouter(Router newRouter) throws Exception {
         router = newRouter;
         router.start().await(10, TimeUnit.SECONDS);
--- a/router/src/test/java/ironwind/net/RouterTest.java
+++ b/router/src/test/java/ironwind/net/RouterTest.java
@@ -5,7 +5,6 @@
 import com.sun.net.httpserver.HttpServer;
 import io.vertx.core.Future;
 import io.vertx.core.json.JsonObject;
-import ironwind.Logic;
 import ironwind.config.RouterConfig;
 import ironwind.model.Group;
 import ironwind.model.Inbound;
@@ -26,6 +25,7 @@
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.stream.IntStream;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
@@ -546,6 +546,29 @@
                 .contains(expectedLog, "at=ironwind");
     }
 
+    /**
+     * Guards against an exception while a client's input is handled, which would leave out all
+     * other sockets and stop the event loop for a second.
+     */
+    @Test
+    void faultInTheInputOfOneClientEndsOnlyItsConnection() throws Exception {
+        AtomicBoolean faulty = new AtomicBoolean(true);
+        startRouter(
+                routerWith(
+                        (method, logic) -> {
+                            if (method.equals("group") && faulty.getAndSet(false)) {
+                                throw new IllegalStateException("defect");
+                            }
+                            return logic.call();
+                        }));
+        PgConnection client = publishHostsAndConnect();
+        PgConnection other = connectClient();
+        client.send(request(READ_TEMPLATE, 900));
+        assertThat(client.readResponse()).endsWith("closed");
+        assertReadSucceeds(other);
+        assertThat(logOutput.toString()).containsOnlyOnce("ERROR fault").contains("defect");
+    }
+
     /**
      * Guards against mistaking the time that a request waited for a blocked event loop for queueing
      * under overload, although no other request is waiting.
@@ -554,26 +577,14 @@
     void requestsAreServedInTheTimeLeftAfterTheEventLoopWasBlocked() throws Exception {
         CountDownLatch loopBlocked = new CountDownLatch(1);
         startRouter(
-                new Router(
-                                config,
-                                new Log(new PrintStream(logOutput, true)),
-                                outbound -> {
-                                    Inbound logic =
-                                            new Logic(config.deployment(), config.seed(), outbound);
-                                    return (Inbound)
-                                            Proxy.newProxyInstance(
-                                                    getClass().getClassLoader(),
-                                                    new Class<?>[] {Inbound.class},
-                                                    (proxy, method, arguments) -> {
-                                                        if (method.getName().equals("onRpcArrived")
-                                                                && loopBlocked.getCount() > 0) {
-                                                            loopBlocked.countDown();
-                                                            Thread.sleep(600);
-                                                        }
-                                                        return method.invoke(logic, arguments);
-                                                    });
-                                })
-                        .withoutWarmup());
+                routerWith(
+                        (method, logic) -> {
+                            if (method.equals("onRpcArrived") && loopBlocked.getCount() > 0) {
+                                loopBlocked.countDown();
+                                Thread.sleep(600);
+                            }
+                            return logic.call();
+                        }));
         PgConnection first = publishHostsAndConnect();
         PgConnection second = connectClient();
         first.send(request(READ_TEMPLATE, 1_900));
