--- a/router/src/main/java/ironwind/net/Discovery.java
+++ b/router/src/main/java/ironwind/net/Discovery.java
@@ -1,5 +1,7 @@
 package ironwind.net;
 
+import io.vertx.core.Future;
+import io.vertx.core.Promise;
 import io.vertx.core.Vertx;
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpClientAgent;
@@ -9,26 +11,23 @@
 import io.vertx.core.http.HttpResponseExpectation;
 import io.vertx.core.http.PoolOptions;
 import io.vertx.core.http.RequestOptions;
-import io.vertx.core.json.JsonArray;
 import io.vertx.core.json.JsonObject;
 import ironwind.config.Address;
-import ironwind.config.NameIndex;
+import ironwind.config.ConfigException;
 import ironwind.config.RouterConfig;
-import ironwind.model.Host.DiscoveryState;
-import ironwind.model.HostEntry;
-import ironwind.model.Moment;
 import ironwind.net.Counters.Count;
-import java.util.ArrayList;
-import java.util.HashMap;
-import java.util.List;
-import java.util.Map;
+import java.io.IOException;
 
 /**
  * Watches the discovery service with long polling, and passes its updates to the {@link LogicTask}.
  */
 final class Discovery {
     private static final String PATH = "/registry/instances";
-    private static final String PRIMARY = "primary";
+
+    /** Fraction of the router's memory that an answer may take. */
+    private static final double MAX_BODY_FRACTION = 1.0 / 32;
+
+    private static final int BYTES_PER_MEBIBYTE = 1 << 20;
 
     /** How long a poll waits for an update; the protocol specification allows up to a minute. */
     private static final long POLL_WAIT_MS = 5_000;
@@ -45,7 +44,8 @@
     private final Vertx vertx;
     private HttpClientAgent client;
     private Address address;
-    private final NameIndex names;
+    private final HostListDecoder decoder;
+    private final int maxBodyBytes;
     private final LogicTask logicTask;
     private final HostConnectionPool pool;
     private final Counters counters;
@@ -65,7 +65,8 @@
             Log log) {
         this.vertx = vertx;
         this.address = config.discovery();
-        this.names = config.names();
+        this.decoder = new HostListDecoder(config.names());
+        this.maxBodyBytes = (int) (MAX_BODY_FRACTION * config.memoryMb() * BYTES_PER_MEBIBYTE);
         this.logicTask = logicTask;
         this.pool = pool;
         this.counters = counters;
@@ -82,10 +83,15 @@
      * Applies the initial host list and starts polling.
      *
      * @param initialHostList a list as the discovery service would send it
+     * @throws ConfigException if that list is malformed
      * @param firstAnswer runs once, after the first valid answer of the service
      */
     void start(JsonObject initialHostList, Runnable firstAnswer) {
-        apply(initialHostList);
+        try {
+            apply(initialHostList.toBuffer().getBytes());
+        } catch (IOException e) {
+            throw new ConfigException("configuration.known is malformed: " + e.getMessage());
+        }
         version = -1;
         onFirstAnswer = firstAnswer;
         poll();
@@ -125,18 +131,35 @@
                                 .setConnectTimeout(RESPONSE_TIMEOUT_MS)
                                 .setIdleTimeout(idleTimeout))
                 .compose(request -> request.send().expecting(HttpResponseExpectation.SC_OK))
-                .compose(HttpClientResponse::body)
+                .compose(this::readBody)
                 .onSuccess(body -> onResponse(pollClient, body))
                 .onFailure(cause -> onFailure(pollClient, cause));
     }
 
+    /** Reads a body; one that is too large fails, and its connection is closed. */
+    private Future<Buffer> readBody(HttpClientResponse response) {
+        Promise<Buffer> body = Promise.promise();
+        Buffer received = Buffer.buffer();
+        response.handler(
+                chunk -> {
+                    if (received.length() + chunk.length() <= maxBodyBytes) {
+                        received.appendBuffer(chunk);
+                    } else if (body.tryFail("the list is larger than " + maxBodyBytes + " bytes")) {
+                        response.request().reset();
+                    }
+                });
+        response.endHandler(end -> body.tryComplete(received));
+        response.exceptionHandler(body::tryFail);
+        return body.future();
+    }
+
     private void onResponse(HttpClientAgent pollClient, Buffer body) {
         if (pollClient != client) {
             return;
         }
         try {
-            apply(body.toJsonObject());
-        } catch (RuntimeException malformed) {
+            apply(body.getBytes());
+        } catch (IOException | RuntimeException malformed) {
             onFailure(pollClient, malformed);
             return;
         }
@@ -166,53 +189,21 @@
                 });
     }
 
-    /** Applies an answer after all of it has been parsed, so that a malformed one has no effect. */
-    private void apply(JsonObject answer) {
-        JsonArray servers = answer.getJsonArray("servers");
-        boolean full = answer.getBoolean("full", true);
-        List<HostEntry> entries = new ArrayList<>();
-        Map<String, Address> addresses = new HashMap<>();
-        for (int i = 0; i < servers.size(); i++) {
-            JsonObject server = servers.getJsonObject(i);
-            HostEntry entry = parseEntry(server);
-            entries.add(entry);
-            addresses.put(entry.id(), Address.parse(server.getString("addr")));
-        }
-        version = answer.getLong("version");
-        if (full || !entries.isEmpty()) {
+    /**
+     * Applies an answer after all of it has been decoded, so that a malformed one has no effect.
+     */
+    private void apply(byte[] answer) throws IOException {
+        HostListUpdate update = decoder.decode(answer);
+        version = update.version();
+        if (update.complete() || !update.entries().isEmpty()) {
             counters.add(Count.DISCOVERY_UPDATES);
-            logicTask.onDiscoveryUpdate(full, entries, () -> addresses.forEach(pool::setAddress));
+            logicTask.onDiscoveryUpdate(
+                    update.complete(),
+                    update.entries(),
+                    () -> update.addresses().forEach(pool::setAddress));
         }
     }
 
-    private HostEntry parseEntry(JsonObject server) {
-        String state = server.getString("state");
-        DiscoveryState discoveryState =
-                switch (state) {
-                    case "Ready" -> DiscoveryState.READY;
-                    case "Terminating" -> DiscoveryState.DRAINING;
-                    case "Gone" -> DiscoveryState.GONE;
-                    default -> throw new IllegalArgumentException("unknown state " + state);
-                };
-        long startedMs = server.getLong("started_ms", 0L);
-        Moment started = startedMs == 0 ? Moment.NEVER : Moment.ofMillis(startedMs);
-        return new HostEntry(
-                server.getString("id"),
-                indexOf(names.zones(), server.getString("zone")),
-                indexOf(names.kinds(), server.getString("kind")),
-                server.getInteger("cell", 0),
-                discoveryState,
-                server.getDouble("weight", 1.0),
-                started,
-                PRIMARY.equals(server.getString("role")));
-    }
-
-    /** Returns the index of a name; all names that are not listed share the next free index. */
-    private static int indexOf(List<String> knownNames, String name) {
-        int index = knownNames.indexOf(name);
-        return index < 0 ? knownNames.size() : index;
-    }
-
     /** Ends the watch. */
     void stop() {
         stopped = true;
--- a/router/src/main/java/ironwind/net/Log.java
+++ b/router/src/main/java/ironwind/net/Log.java
@@ -21,6 +21,9 @@
 public final class Log {
     private static final Duration WARN_INTERVAL = Duration.ofSeconds(1);
 
+    /** Longest value in a line; what peers send may be far longer. */
+    private static final int MAX_VALUE_CHARS = 2_000;
+
     private final Sink sink;
     private final InstantSource clock;
     private final Map<String, WarningState> warnings = new HashMap<>();
@@ -169,7 +172,9 @@
         return line.toString();
     }
 
-    private static String quote(String value) {
+    private static String quote(String text) {
+        String value =
+                text.length() > MAX_VALUE_CHARS ? text.substring(0, MAX_VALUE_CHARS) + "..." : text;
         boolean unquoted =
                 !value.isEmpty()
                         && value.chars()
--- a/router/src/test/java/ironwind/net/RouterTest.java
+++ b/router/src/test/java/ironwind/net/RouterTest.java
@@ -490,6 +490,21 @@
         assertThat(router.counters().read().get("host_connections")).isGreaterThan(500);
     }
 
+    /** Guards against an answer of discovery that never ends and fills the memory. */
+    @Test
+    void discoveryIsRetriedAfterAnAnswerThatIsTooLarge() throws Exception {
+        discoveryResponses.add("{\"version\":7,\"servers\":[" + "[],".repeat(1_000_000) + "[]]}");
+        PgConnection client = publishHostsAndConnect();
+        String readResult = "";
+        while (!readResult.equals("TDCZ")) {
+            client.send(request(READ_TEMPLATE, 900));
+            readResult = client.readResponse();
+        }
+        assertThat(logOutput.toString())
+                .contains("the list is larger than")
+                .contains("discovery_back");
+    }
+
     /** Guards against a failed discovery request after which the router makes no other. */
     @ParameterizedTest
     @ValueSource(
