A connection that only waits for its turn is not read ahead

Cause: a hundred clients that flood were read ahead in every pass of the event loop, 64 KB each, although none had an RPC open.

Change: input is read ahead while 16 commands are unanswered. Before an RPC starts whose socket was last read over 10 ms ago, the socket is read, so that a close is seen.

--- a/router/src/main/java/ironwind/net/ClientConnection.java
+++ b/router/src/main/java/ironwind/net/ClientConnection.java
@@ -38,6 +38,9 @@
     /** Answers that are written at the end of the current step; null if there are none. */
     private List<byte[]> output;
 
+    /** When its socket was last read, in microseconds of the monotonic time. */
+    private long readAt;
+
     /** Unanswered commands, a list linked by {@link Exchange#next}; null if there is none. */
     private Exchange firstPending;
 
@@ -87,7 +90,7 @@
     @Override
     public void onReadable() {
         connections.commandTurns.recordPoll(this);
-        if (isExecutionPaused() && !connections.mayReadAhead(this, reservedBytes)) {
+        if (!closed && !wantsInput()) {
             updateReadInterest();
         } else if (!closed && connections.readNowOrEnqueue(this)) {
             read();
@@ -104,7 +107,7 @@
     }
 
     private void read() {
-        byte[] bytes = socket.read(connections.maxReadBytes());
+        byte[] bytes = readSocket();
         if (connections.mayHaveWaited(this)) {
             bytes = readFurther(bytes);
         }
@@ -128,14 +131,31 @@
             buffer(last);
             connections.resizeInput(frameDecoder.bufferCapacity() - reservedBytes);
             reservedBytes = frameDecoder.bufferCapacity();
-            last =
-                    connections.mayReadAhead(this, reservedBytes)
-                            ? socket.read(connections.maxReadBytes())
-                            : NO_BYTES;
+            last = connections.mayReadAhead(this, reservedBytes) ? readSocket() : NO_BYTES;
         }
         return last;
     }
 
+    private byte[] readSocket() {
+        readAt = connections.now();
+        return socket.read(connections.maxReadBytes());
+    }
+
+    /**
+     * Returns whether an RPC may be started for the client. If the socket was not read lately,
+     * because many commands are buffered, it is read first; a connection whose client has left is
+     * closed.
+     */
+    boolean isStillConnected() {
+        if (!closed && connections.isLongAgo(readAt)) {
+            boolean mayRead = connections.mayReadAhead(this, reservedBytes);
+            if (mayRead && readFurther(readSocket()) == null) {
+                close(Ending.CLIENT_LEFT);
+            }
+        }
+        return !closed;
+    }
+
     private void receive(byte[] bytes) {
         if (bytes.length > 0 && acceptsInput()) {
             buffer(bytes);
@@ -469,14 +489,19 @@
     /** Reads from the socket as far as there is a use and memory for it. */
     void updateReadInterest() {
         if (!closed) {
-            socket.setReadInterest(
-                    !closing
-                            && !connections.isQueued(this)
-                            && (!isExecutionPaused()
-                                    || connections.mayReadAhead(this, reservedBytes)));
+            socket.setReadInterest(!closing && !connections.isQueued(this) && wantsInput());
         }
     }
 
+    /**
+     * Returns whether there is a use and memory for input: while the client's earlier commands are
+     * open, to see whether it leaves, but not while it only waits for its turn.
+     */
+    private boolean wantsInput() {
+        return !isExecutionPaused()
+                || hasTooManyAnswersDue() && connections.mayReadAhead(this, reservedBytes);
+    }
+
     /** Closes the connection between two requests: now, or once all its commands are answered. */
     void drain() {
         pendingEnding = pendingEnding == null ? Ending.CLIENT_CLOSED_BY_ROUTER : pendingEnding;
--- a/router/src/main/java/ironwind/net/ClientConnections.java
+++ b/router/src/main/java/ironwind/net/ClientConnections.java
@@ -219,7 +219,7 @@
     }
 
     /** Returns the monotonic time in microseconds. */
-    private long now() {
+    long now() {
         return monotonicTime.advance(System.nanoTime() / 1_000);
     }
 
@@ -474,6 +474,11 @@
         return inputBuffering.mayReadAhead(client, bufferedBytes);
     }
 
+    /** Returns whether a socket that was read at this time is to be read before an RPC starts. */
+    boolean isLongAgo(long readAt) {
+        return now() - readAt > UNNOTICED_WAIT.us();
+    }
+
     /**
      * Returns whether the input of a connection may have waited so long to be read that its client
      * may have left since.
@@ -625,6 +630,9 @@
     }
 
     private void startRpc(ClientConnection client, Statement statement, int sqlLength) {
+        if (!client.isStillConnected()) {
+            return;
+        }
         byte[] warmupAnswer = warmup == null ? null : warmup.answerTo(statement);
         if (warmupAnswer != null) {
             client.addExchange(statement).answer(warmupAnswer);
