--- a/router/src/main/java/ironwind/Logic.java
+++ b/router/src/main/java/ironwind/Logic.java
@@ -88,12 +88,6 @@
     /** How long a reported position shows how far a replica is behind. */
     private static final Span POSITION_REPORT_TTL = Span.ofMillis(3_000);
 
-    /**
-     * Discovery may be late by this much: an update that names a primary is ignored if the host has
-     * reported within this time that it is a replica.
-     */
-    private static final Span MAX_DISCOVERY_DELAY = Span.ofMillis(10_000);
-
     /**
      * Spending per RPC on probes for log positions, in the unit of {@link Deployment#probeCost()}.
      */
@@ -256,6 +250,7 @@
     private final SplittableRandom random;
     private final Outbound outbound;
     private final Map<String, Host> hosts;
+    private final PrimaryRoles roles = new PrimaryRoles();
     private final Map<Integer, Group> groups = new TreeMap<>();
     private final Map<Integer, MovingAverage> zoneResponseTimes = new TreeMap<>();
 
@@ -363,6 +358,7 @@
                 host.group.members.add(host);
                 host.group.members.sort(Comparator.comparing(h -> h.id));
                 host.group.replicaPool.limit = initialPoolLimit(host.group.members.size());
+                roles.onAdded(host);
             }
             host.zoneResponseTimeUs =
                     zoneResponseTimes.computeIfAbsent(
@@ -388,7 +384,11 @@
         boolean unavailable =
                 host.discoveryState == Host.DiscoveryState.GONE
                         && (host.suspect || !acceptsSends(host));
-        return unavailable && host.inFlight.isEmpty() && host.group.members.remove(host);
+        boolean removed = unavailable && host.inFlight.isEmpty() && host.group.members.remove(host);
+        if (removed) {
+            roles.onRemoved(host);
+        }
+        return removed;
     }
 
     private void updateDiscoveryState(Host host, Host.DiscoveryState state) {
@@ -407,49 +407,26 @@
         }
     }
 
-    /**
-     * Applies the role from discovery. Discovery may lag behind the hosts' answers, so a host
-     * listed as primary becomes the primary only if it was not listed so before, no usable primary
-     * is known, and it has not recently reported itself as a replica.
-     */
     private void applyListedRole(Host host, boolean primary) {
-        boolean changed = primary && !host.listedPrimary;
-        host.listedPrimary = primary;
-        Group group = host.group;
-        boolean noUsablePrimary =
-                group.primary == null || group.primary.suspect || !acceptsSends(group.primary);
-        boolean recentlyReplica =
-                host.reportedReplica
-                        && now.since(host.lastUsefulAnswerAt).shorterThan(MAX_DISCOVERY_DELAY);
-        if (changed && noUsablePrimary && !recentlyReplica) {
-            setPrimary(host, group.primaryReportedAt);
+        Host believed = host.group.primary;
+        boolean usablePrimaryKnown =
+                believed != null && !believed.suspect && acceptsSends(believed);
+        if (roles.onListed(host, primary, usablePrimaryKnown, now)) {
+            primaryChanged(host.group);
         }
     }
 
-    // ---- answers
-
-    private void setPrimary(Host host, Moment reportedAt) {
-        Group group = host.group;
-        if (group.primary != host) {
-            // The limit that the previous primary was reduced to says nothing about the new one.
-            checkNeeded = true;
-            group.primaryPool = new ConcurrencyLimit(initialPoolLimit(1));
-        }
-        group.primary = host;
-        group.primaryReportedAt = reportedAt;
-        host.reportedReplica = false;
+    private void primaryChanged(Group group) {
+        // The limit that the previous primary was reduced to says nothing about the new one.
+        checkNeeded = true;
+        group.primaryPool = new ConcurrencyLimit(initialPoolLimit(1));
     }
 
+    // ---- answers
+
     private void applyReportedRole(Host host, Role role, Moment reportedAt) {
-        if (role == Role.PRIMARY && !reportedAt.before(host.group.primaryReportedAt)) {
-            setPrimary(host, reportedAt);
-        } else if (role == Role.REPLICA
-                && (host.group.primary != host
-                        || !reportedAt.before(host.group.primaryReportedAt))) {
-            host.reportedReplica = true;
-            if (host.group.primary == host) {
-                host.group.primary = null;
-            }
+        if (roles.onReport(host, role, reportedAt)) {
+            primaryChanged(host.group);
         }
     }
 
@@ -499,6 +476,7 @@
             boolean finalAnswerGiven,
             Role role,
             Moment position,
+            Moment answeredAt,
             Span took) {
         now = time;
         checkNeeded = true;
@@ -514,7 +492,8 @@
             rpc.firstPossibleRunAt = callOut.sentAt;
         }
         if (outcome.answered) {
-            recordAnswer(callOut, outcome, role, position, took);
+            recordAnswer(callOut, outcome, position, took);
+            applyReportedRole(host, role, answeredAt);
         } else if (outcome == Outcome.CONNECT_FAILED
                 && !host.lastUsefulAnswerAt.after(callOut.sentAt)) {
             // If the host has answered on another connection since, only this connection failed.
@@ -560,8 +539,7 @@
         }
     }
 
-    private void recordAnswer(
-            CallOut callOut, Outcome outcome, Role role, Moment position, Span took) {
+    private void recordAnswer(CallOut callOut, Outcome outcome, Moment position, Span took) {
         Rpc rpc = callOut.rpc;
         Host host = callOut.host;
         Consistency consistency = rpc.method.consistency();
@@ -598,7 +576,6 @@
             rpc.group.sessionCommits.record(
                     rpc.session, position.after(Moment.NEVER) ? position : now);
         }
-        applyReportedRole(host, role, now);
         if (consistency != Consistency.WRITE
                 && deployment.staleReadPolicy() == StaleReadPolicy.REJECT) {
             if (outcome.served()) {
--- a/router/src/main/java/ironwind/adapter/SimulatedRouter.java
+++ b/router/src/main/java/ironwind/adapter/SimulatedRouter.java
@@ -159,6 +159,7 @@
                                 finalAnswerGiven,
                                 role,
                                 position,
+                                now,
                                 duration));
         removeIfDone(rpc);
     }
--- a/router/src/main/java/ironwind/model/Host.java
+++ b/router/src/main/java/ironwind/model/Host.java
@@ -35,6 +35,9 @@
      */
     public boolean reportedReplica;
 
+    /** When it made its newest statement of its role; {@link Moment#NEVER} if it made none. */
+    public Moment roleReportedAt = Moment.NEVER;
+
     /** Log position that it is known to have applied at least. */
     public Moment position = Moment.NEVER;
 
--- a/router/src/main/java/ironwind/model/Inbound.java
+++ b/router/src/main/java/ironwind/model/Inbound.java
@@ -33,6 +33,7 @@
      *     call-out or earlier, or the client has left
      * @param role role that the host reported with its answer
      * @param position log position that it reported; {@link Moment#NEVER} for none
+     * @param answeredAt when the host began to answer: what it reported is no newer than that
      * @param took time from sending to the outcome
      */
     void onCallOutEnded(
@@ -42,6 +43,7 @@
             boolean finalAnswerGiven,
             Role role,
             Moment position,
+            Moment answeredAt,
             Span took);
 
     /**
--- a/router/src/main/java/ironwind/net/HostAnswer.java
+++ b/router/src/main/java/ironwind/net/HostAnswer.java
@@ -41,6 +41,9 @@
     /** Memory of a parameter beside its text, in bytes: two strings and an entry of a map. */
     private static final int PARAMETER_BYTES = 160;
 
+    /** When its first message arrived; {@link Moment#NEVER} before that. */
+    private Moment beganAt = Moment.NEVER;
+
     private byte[] rowDescription;
     private byte[] dataRow;
     private String commandTag;
@@ -88,6 +91,18 @@
         }
     }
 
+    /** Records that data of the answer has arrived; only the first call has an effect. */
+    void recordArrival(Moment now) {
+        if (!beganAt.after(Moment.NEVER)) {
+            beganAt = now;
+        }
+    }
+
+    /** Returns when the first data of the answer arrived; {@link Moment#NEVER} if none has. */
+    Moment beganAt() {
+        return beganAt;
+    }
+
     /** Returns the memory that the messages take, in bytes. */
     long heldBytes() {
         return heldBytes;
--- a/router/src/main/java/ironwind/net/HostConnection.java
+++ b/router/src/main/java/ironwind/net/HostConnection.java
@@ -224,6 +224,9 @@
         }
         try {
             decoder.add(bytes);
+            if (ready && fence == FenceState.PASSED) {
+                answer.recordArrival(Clock.read());
+            }
             for (Frame frame = decoder.next(); frame != null && !closed; frame = decoder.next()) {
                 HostMessage message = HostMessage.decode(frame);
                 onMessage(message);
@@ -259,6 +262,9 @@
             fence = FenceState.ANSWERED;
         } else if (message instanceof HostMessage.ReadyForQuery && fence == FenceState.ANSWERED) {
             fence = FenceState.PASSED;
+            if (decoder.hasBufferedBytes()) {
+                answer.recordArrival(Clock.read());
+            }
         } else if (!(message instanceof HostMessage.ParameterStatus)
                 && !(message instanceof HostMessage.Ignored)) {
             throw new PgException(
--- a/router/src/main/java/ironwind/net/LogicTask.java
+++ b/router/src/main/java/ironwind/net/LogicTask.java
@@ -374,6 +374,7 @@
                 !open || outcome == Outcome.OK,
                 role,
                 position,
+                outcome.answered ? answer.beganAt().earlier(time) : time,
                 time.since(callOut.sentAt));
         removeIfDone(rpc);
     }
--- a/router/src/test/java/ironwind/LogicFixture.java
+++ b/router/src/test/java/ironwind/LogicFixture.java
@@ -229,6 +229,7 @@
                 finalAnswerGiven,
                 role,
                 position,
+                now(),
                 now().since(callOut.sentAt));
         logic.onBatchEnd(now());
         return this;
--- a/router/src/test/java/ironwind/LogicTest.java
+++ b/router/src/test/java/ironwind/LogicTest.java
@@ -276,6 +276,7 @@
                 false,
                 Role.REPLICA,
                 fixture.now(),
+                fixture.now(),
                 fixture.now().since(stuck.callOuts.get(0).sentAt));
         assertThat(fixture.host(silent).suspect).isEqualTo(suspect);
     }
--- a/router/src/test/java/ironwind/net/HostAnswerTest.java
+++ b/router/src/test/java/ironwind/net/HostAnswerTest.java
@@ -4,8 +4,10 @@
 
 import ironwind.model.Moment;
 import ironwind.model.Role;
+import ironwind.model.Span;
 import ironwind.pg.HostMessage;
 import ironwind.pg.Row;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
@@ -45,6 +47,16 @@
         assertThat(answer.role()).isEqualTo(expectedRole);
     }
 
+    /** Guards against a role that is dated by the end of an answer which began long before. */
+    @Test
+    void answerBeganWithItsFirstData() {
+        HostAnswer answer = new HostAnswer();
+        assertThat(answer.beganAt()).isEqualTo(Moment.NEVER);
+        answer.recordArrival(NOW);
+        answer.recordArrival(NOW.plus(Span.ofMillis(4_000)));
+        assertThat(answer.beganAt()).isEqualTo(NOW);
+    }
+
     /** Guards against a number whose digits are computed with before they are counted. */
     @ParameterizedTest
     @ValueSource(ints = {100, 3_000, 2_000_000})
