--- a/router/src/main/java/ironwind/idle/ConnectionState.java
+++ b/router/src/main/java/ironwind/idle/ConnectionState.java
@@ -19,7 +19,7 @@
      */
     RECEIVING("halfway"),
     /**
-     * An answer is outstanding, or reading is paused because of unsent answers. Never evicted; the
+     * An answer is outstanding or not sent yet, or commands wait to be executed. Never evicted; the
      * RPC's own deadline and the slow reader timeout limit how long that lasts.
      */
     BUSY("busy");
--- a/router/src/main/java/ironwind/net/ClientConnection.java
+++ b/router/src/main/java/ironwind/net/ClientConnection.java
@@ -446,7 +446,7 @@
 
     /**
      * Updates the connection's state and read interest. Closes the connection if it is to be closed
-     * by the router and no command or message is in progress.
+     * by the router, no command or message is in progress and all answers have left the process.
      *
      * @param restart whether the timeout starts again even if the state is the same
      */
@@ -457,9 +457,11 @@
         if (pendingEnding == null && connections.isDraining()) {
             pendingEnding = Ending.CLIENT_CLOSED_BY_ROUTER;
         }
-        if (firstPending == null && pendingEnding == Ending.CLIENT_FATAL_ERROR) {
+        // Unsent answers would be lost with the socket.
+        boolean answersDue = firstPending != null || unsentBytes() > 0;
+        if (!answersDue && pendingEnding == Ending.CLIENT_FATAL_ERROR) {
             closing = true;
-        } else if (firstPending == null
+        } else if (!answersDue
                 && (frameDecoder == null || !startupDone)
                 && pendingEnding == Ending.CLIENT_CLOSED_BY_ROUTER) {
             close(pendingEnding);
@@ -471,7 +473,7 @@
         ConnectionState newState =
                 closing
                         ? ConnectionState.CLOSING
-                        : firstPending != null || isExecutionPaused()
+                        : answersDue || isExecutionPaused()
                                 ? ConnectionState.BUSY
                                 : !startupDone
                                         ? ConnectionState.STARTUP
