One clock covers a call of discovery, from the connect to the last byte

Callers saw: requests reached draining hosts after their grace, when the connection of discovery had fallen silent within an answer, or its answers came 2.5 s late.

Cause: the idle timeout of a request ends with the head of its answer, so that a missing rest was waited for without end; the whole list was given up after 2 s, although it is of use for 6.

Change: a timer covers the whole call: a watch has its wait and 2 s, the whole list 5 s. Then its connection is closed, and the next call opens another.

Result: the new test and a new row of RouterTest timed out before and pass.

--- a/router/src/main/java/ironwind/net/Discovery.java
+++ b/router/src/main/java/ironwind/net/Discovery.java
@@ -32,6 +32,12 @@
     /** How long a poll waits for an update; the protocol specification allows up to a minute. */
     private static final long POLL_WAIT_MS = 5_000;
 
+    /**
+     * Time for the whole list. By the protocol specification, a change counts as told 6 s after the
+     * service had it, so a list that is late is of use until then; the rest is for another call.
+     */
+    private static final long LIST_TIMEOUT_MS = 5_000;
+
     /**
      * Time for an answer beyond the wait: by the protocol specification, an update counts as
      * delivered this long after the wait.
@@ -119,21 +125,50 @@
         HttpClientAgent pollClient = client;
         boolean watch = version >= 0;
         String uri = watch ? PATH + "?after=" + version + "&wait_ms=" + POLL_WAIT_MS : PATH;
-        long idleTimeout = RESPONSE_TIMEOUT_MS + (watch ? POLL_WAIT_MS : 0);
-        // A poll that gets no data for this long fails, and its connection is closed; the next poll
-        // opens another.
-        client.request(
+        Promise<Buffer> answer = Promise.promise();
+        long timer =
+                vertx.setTimer(
+                        watch ? POLL_WAIT_MS + RESPONSE_TIMEOUT_MS : LIST_TIMEOUT_MS,
+                        expired -> onSilence(pollClient, answer));
+        pollClient
+                .request(
                         new RequestOptions()
                                 .setMethod(HttpMethod.GET)
                                 .setHost(address.ip())
                                 .setPort(address.port())
                                 .setURI(uri)
-                                .setConnectTimeout(RESPONSE_TIMEOUT_MS)
-                                .setIdleTimeout(idleTimeout))
+                                .setConnectTimeout(RESPONSE_TIMEOUT_MS))
                 .compose(request -> request.send().expecting(HttpResponseExpectation.SC_OK))
                 .compose(this::readBody)
-                .onSuccess(body -> onResponse(pollClient, body))
-                .onFailure(cause -> onFailure(pollClient, cause));
+                .onSuccess(answer::tryComplete)
+                .onFailure(answer::tryFail);
+        answer.future()
+                .onComplete(
+                        body -> {
+                            vertx.cancelTimer(timer);
+                            if (body.succeeded()) {
+                                onResponse(pollClient, body.result());
+                            } else {
+                                onFailure(pollClient, body.cause());
+                            }
+                        });
+    }
+
+    /**
+     * Gives up a call whose answer is not complete in time, whichever part of it is missing, with
+     * its connection: the next call opens another.
+     */
+    private void onSilence(HttpClientAgent pollClient, Promise<Buffer> answer) {
+        if (pollClient == client && !stopped) {
+            client = newClient();
+            if (!failing) {
+                log.warn("discovery_failed", "cause", "no complete answer in time");
+                failing = true;
+            }
+            poll();
+        }
+        answer.tryFail("no complete answer in time");
+        pollClient.close();
     }
 
     /** Reads a body; one that is too large fails, and its connection is closed. */
--- a/router/src/test/java/ironwind/net/RouterFixture.java
+++ b/router/src/test/java/ironwind/net/RouterFixture.java
@@ -41,6 +41,9 @@
     /** Makes the discovery server leave the request without a response. */
     static final String NO_RESPONSE = "no response";
 
+    /** Precedes a response that falls silent after half of its body. */
+    static final String STALL = "stall:";
+
     /** Size of the chunks in which the discovery server writes a response. */
     static final int DISCOVERY_CHUNK_BYTES = 1_021;
 
@@ -105,6 +108,11 @@
                         }
                         byte[] body = response.getBytes(StandardCharsets.UTF_8);
                         exchange.sendResponseHeaders(200, body.length);
+                        if (response.startsWith(STALL)) {
+                            exchange.getResponseBody().write(body, 0, body.length / 2);
+                            exchange.getResponseBody().flush();
+                            new CountDownLatch(1).await();
+                        }
                         for (int offset = 0;
                                 offset < body.length;
                                 offset += DISCOVERY_CHUNK_BYTES) {
--- a/router/src/test/java/ironwind/net/RouterTest.java
+++ b/router/src/test/java/ironwind/net/RouterTest.java
@@ -490,6 +490,24 @@
         assertThat(router.counters().read().get("host_connections")).isGreaterThan(500);
     }
 
+    /** Guards against a watch that is never renewed because it fell silent within its answer. */
+    @Test
+    @Timeout(value = 20, threadMode = Timeout.ThreadMode.SEPARATE_THREAD)
+    void watchThatFallsSilentInItsAnswerIsRenewed() throws Exception {
+        PgConnection client = publishHostsAndConnect();
+        assertReadSucceeds(client);
+        discoveryResponses.add(STALL + hostListJson());
+        JsonObject draining = replica.discoveryEntry().put("state", "Terminating");
+        discoveryResponses.add(hostListJson(3, primary.discoveryEntry(), draining));
+        while (router.counters().read().get("lists") < 3) {
+            Thread.sleep(20);
+        }
+        assertReadSucceeds(client);
+        int sentToReplica = replica.requests.size();
+        assertReadSucceeds(client);
+        assertThat(replica.requests).hasSize(sentToReplica);
+    }
+
     /** Guards against an answer of discovery that never ends and fills the memory. */
     @Test
     void discoveryIsRetriedAfterAnAnswerThatIsTooLarge() throws Exception {
@@ -513,7 +531,8 @@
                 "{}",
                 "{\"version\":7,\"servers\":[{\"id\":\"x\"}]}",
                 CLOSE,
-                NO_RESPONSE
+                NO_RESPONSE,
+                STALL + "{\"version\":7,\"servers\":[]}"
             })
     void discoveryIsRetriedAfterAFailure(String response) throws Exception {
         discoveryResponses.add(response);
