--- a/router/src/test/java/ironwind/net/RouterTest.java
+++ b/router/src/test/java/ironwind/net/RouterTest.java
@@ -11,6 +11,7 @@
 import ironwind.model.Span;
 import ironwind.pg.Encoder;
 import ironwind.pg.Statement;
+import java.io.IOException;
 import java.io.PrintStream;
 import java.lang.reflect.InvocationHandler;
 import java.lang.reflect.Proxy;
@@ -508,16 +509,19 @@
         assertThat(replica.requests).hasSize(sentToReplica);
     }
 
+    private void awaitReadServed(PgConnection client) throws IOException {
+        String response = "";
+        while (!response.equals("TDCZ")) {
+            client.send(request(READ_TEMPLATE, 900));
+            response = client.readResponse();
+        }
+    }
+
     /** Guards against an answer of discovery that never ends and fills the memory. */
     @Test
     void discoveryIsRetriedAfterAnAnswerThatIsTooLarge() throws Exception {
         discoveryResponses.add("{\"version\":7,\"servers\":[" + "[],".repeat(1_000_000) + "[]]}");
-        PgConnection client = publishHostsAndConnect();
-        String readResult = "";
-        while (!readResult.equals("TDCZ")) {
-            client.send(request(READ_TEMPLATE, 900));
-            readResult = client.readResponse();
-        }
+        awaitReadServed(publishHostsAndConnect());
         assertThat(logOutput.toString())
                 .contains("the list is larger than")
                 .contains("discovery_back");
@@ -536,12 +540,7 @@
             })
     void discoveryIsRetriedAfterAFailure(String response) throws Exception {
         discoveryResponses.add(response);
-        PgConnection client = publishHostsAndConnect();
-        String readResult = "";
-        while (!readResult.equals("TDCZ")) {
-            client.send(request(READ_TEMPLATE, 900));
-            readResult = client.readResponse();
-        }
+        awaitReadServed(publishHostsAndConnect());
         assertThat(logOutput.toString())
                 .containsOnlyOnce("discovery_failed")
                 .containsOnlyOnce("discovery_back");
